--- a/packages/capacity_benchmark/capacity_benchmark.cpp
+++ b/packages/capacity_benchmark/capacity_benchmark.cpp
@@ -34,7 +34,7 @@
 namespace limits = rattanbay::limits;
 namespace membership = rattanbay::membership;
 namespace peer = rattanbay::peer;
-namespace platform = rattanbay::platform;
+namespace object_api = rattanbay::object_api;
 namespace routing = rattanbay::routing;
 namespace telemetry = rattanbay::telemetry;
 using namespace std::chrono_literals;
@@ -365,22 +365,22 @@
           mean_us([&] { adoption.offer_value(value); }));
 }
 
-platform::vm_list make_list(std::size_t endpoints) {
-    platform::vm_list list;
+object_api::vm_list make_list(std::size_t endpoints) {
+    object_api::vm_list list;
     list.version = 1;
     for (std::size_t n = 0; n < endpoints; ++n) {
         const auto third = static_cast<std::uint8_t>(n / 250);
         const base::address address{{10, 2, third, static_cast<std::uint8_t>(n % 250 + 1)}, 8000};
         list.vms.push_back({base::vm_id("replica-" + std::to_string(n)), base::service_name(service_name(n)),
-                            address, domain(n / model_services), platform::vm_state::live});
+                            address, domain(n / model_services), object_api::vm_state::live});
     }
     return list;
 }
 
 /// The list as section 9 of the design page has it.
-std::string json_list(const platform::vm_list& list) {
+std::string json_list(const object_api::vm_list& list) {
     nlohmann::json vms = nlohmann::json::array();
-    for (const platform::vm& it : list.vms) {
+    for (const object_api::vm& it : list.vms) {
         vms.push_back({{"id", it.id.text()},
                        {"service", it.service.text()},
                        {"address", it.address.text()},
@@ -393,7 +393,7 @@
 void measure_endpoints(std::size_t endpoints, const config::environment_document& document) {
     const auto count = static_cast<double>(endpoints);
     std::size_t before = live_bytes();
-    const platform::vm_list list = make_list(endpoints);
+    const object_api::vm_list list = make_list(endpoints);
     print("VM list, held", "endpoints", count, "B", static_cast<double>(live_bytes() - before));
     before = live_bytes();
     const routing::endpoint_table table(list, document);
@@ -410,7 +410,7 @@
     print("router, publish", "endpoints", count, "us", mean_us([&] { router.publish(table); }));
     const base::time_point now{1h};
     print("router, load reports of all endpoints", "endpoints", count, "us", mean_us([&] {
-              for (const platform::vm& it : list.vms) {
+              for (const object_api::vm& it : list.vms) {
                   router.load_reported(base::endpoint_id(it.id.text()), {4, 2, 100ms}, now);
               }
           }));
--- a/packages/config/include/rattanbay/config/document_object.hpp
+++ b/packages/config/include/rattanbay/config/document_object.hpp
@@ -2,7 +2,7 @@
 
 #include <rattanbay/base/error.hpp>
 #include <rattanbay/config/environment_document.hpp>
-#include <rattanbay/platform/call.hpp>
+#include <rattanbay/object_api/call.hpp>
 
 #include <cstdint>
 #include <string>
@@ -18,7 +18,7 @@
     std::string text;
 
     /// Key of the platform object that holds an environment's document.
-    static platform::object_key key(const std::string& environment);
+    static object_api::object_key key(const std::string& environment);
 
     /// Reads the value of the platform object; `invalid_input` when a member is missing, unknown or
     /// of the wrong type.
--- a/packages/config/include/rattanbay/config/promotion.hpp
+++ b/packages/config/include/rattanbay/config/promotion.hpp
@@ -5,8 +5,8 @@
 #include <rattanbay/config/document_object.hpp>
 #include <rattanbay/config/environment_document.hpp>
 #include <rattanbay/config/proof.hpp>
-#include <rattanbay/platform/answer.hpp>
-#include <rattanbay/platform/call.hpp>
+#include <rattanbay/object_api/answer.hpp>
+#include <rattanbay/object_api/call.hpp>
 
 #include <cstdint>
 #include <optional>
@@ -44,7 +44,7 @@
 
 /// A platform call to be made after a wait; its answer goes to `handle`.
 struct delayed_call {
-    platform::call call;
+    object_api::call call;
     base::duration delay{};
 };
 
@@ -90,7 +90,7 @@
     publication_step start(base::time_point now);
 
     /// Takes the answer to the last call.
-    publication_step handle(const platform::answer& answer, base::time_point now);
+    publication_step handle(const object_api::answer& answer, base::time_point now);
 
 private:
     enum class phase { reading, writing };
@@ -99,9 +99,9 @@
     publication_step write();
     publication_step retry(std::string reason, base::time_point now);
     publication_step finish(publication_status status, std::string reason) const;
-    publication_step handle_read(const platform::answer& answer, base::time_point now);
-    publication_step handle_written(const platform::answer& answer, base::time_point now);
-    publication_step compare(const platform::object& current);
+    publication_step handle_read(const object_api::answer& answer, base::time_point now);
+    publication_step handle_written(const object_api::answer& answer, base::time_point now);
+    publication_step compare(const object_api::object& current);
 
     std::string environment_;
     document_object document_;
@@ -127,12 +127,12 @@
     publication_step start(base::time_point now);
 
     /// Takes the answer to the last call.
-    publication_step handle(const platform::answer& answer, base::time_point now);
+    publication_step handle(const object_api::answer& answer, base::time_point now);
 
 private:
     publication_step read(base::duration delay = {}) const;
     publication_step retry(std::string reason, base::time_point now);
-    publication_step compare(const platform::object& current) const;
+    publication_step compare(const object_api::object& current) const;
 
     proof proof_;
     environment_document document_;
@@ -154,10 +154,10 @@
     publication_step start(base::time_point now);
 
     /// Takes the answer to the last call.
-    publication_step handle(const platform::answer& answer, base::time_point now);
+    publication_step handle(const object_api::answer& answer, base::time_point now);
 
 private:
-    publication_step check_proof(const platform::answer& answer, base::time_point now);
+    publication_step check_proof(const object_api::answer& answer, base::time_point now);
 
     std::string environment_;
     environment_document document_;
--- a/packages/config/include/rattanbay/config/proof.hpp
+++ b/packages/config/include/rattanbay/config/proof.hpp
@@ -2,7 +2,7 @@
 
 #include <rattanbay/base/error.hpp>
 #include <rattanbay/config/environment_document.hpp>
-#include <rattanbay/platform/call.hpp>
+#include <rattanbay/object_api/call.hpp>
 
 #include <cstdint>
 #include <string>
@@ -24,7 +24,7 @@
     std::vector<std::string> pipelines;
 
     /// Key of the platform object that holds the proof of these bytes.
-    static platform::object_key key(const std::string& sha256);
+    static object_api::object_key key(const std::string& sha256);
 
     /// Reads the value of the platform object; `invalid_input` when a member is missing, unknown or
     /// of the wrong type.
--- a/packages/config/src/document_object.cpp
+++ b/packages/config/src/document_object.cpp
@@ -7,7 +7,7 @@
 
 namespace rattanbay::config {
 
-platform::object_key document_object::key(const std::string& environment) {
+object_api::object_key document_object::key(const std::string& environment) {
     return {"documents", environment};
 }
 
--- a/packages/config/src/promotion.cpp
+++ b/packages/config/src/promotion.cpp
@@ -7,14 +7,14 @@
 
 namespace {
 
-std::string failure_of(const platform::answer& answer) {
-    const platform::failed* failure = std::get_if<platform::failed>(&answer);
+std::string failure_of(const object_api::answer& answer) {
+    const object_api::failed* failure = std::get_if<object_api::failed>(&answer);
     return failure != nullptr ? failure->reason.message : "the platform gave an answer of the wrong kind";
 }
 
 /// Whether a write with this answer may have taken effect, now or later.
-bool leaves_doubt(const platform::answer& answer) {
-    const platform::failed* failure = std::get_if<platform::failed>(&answer);
+bool leaves_doubt(const object_api::answer& answer) {
+    const object_api::failed* failure = std::get_if<object_api::failed>(&answer);
     return failure == nullptr || failure->reason.code != base::error_code::connection_refused;
 }
 
@@ -68,19 +68,19 @@
     return read();
 }
 
-publication_step document_publication::handle(const platform::answer& answer, base::time_point now) {
+publication_step document_publication::handle(const object_api::answer& answer, base::time_point now) {
     return phase_ == phase::reading ? handle_read(answer, now) : handle_written(answer, now);
 }
 
 publication_step document_publication::read(base::duration delay) {
     phase_ = phase::reading;
-    return delayed_call{platform::read_object{document_object::key(environment_)}, delay};
+    return delayed_call{object_api::read_object{document_object::key(environment_)}, delay};
 }
 
 publication_step document_publication::write() {
     phase_ = phase::writing;
     return delayed_call{
-        platform::write_object{document_object::key(environment_), version_, document_.value()}, {}};
+        object_api::write_object{document_object::key(environment_), version_, document_.value()}, {}};
 }
 
 publication_step document_publication::retry(std::string reason, base::time_point now) {
@@ -99,8 +99,8 @@
     return out;
 }
 
-publication_step document_publication::handle_read(const platform::answer& answer, base::time_point now) {
-    if (std::holds_alternative<platform::absent>(answer)) {
+publication_step document_publication::handle_read(const object_api::answer& answer, base::time_point now) {
+    if (std::holds_alternative<object_api::absent>(answer)) {
         if (newest_version_ > 0) {
             return retry("the platform serves an old copy of the document", now);
         }
@@ -108,7 +108,7 @@
         replaced_revision_.reset();
         return write();
     }
-    const platform::object* current = std::get_if<platform::object>(&answer);
+    const object_api::object* current = std::get_if<object_api::object>(&answer);
     if (current == nullptr) {
         return retry(failure_of(answer), now);
     }
@@ -119,7 +119,7 @@
     return compare(*current);
 }
 
-publication_step document_publication::compare(const platform::object& current) {
+publication_step document_publication::compare(const object_api::object& current) {
     const base::result<document_object> accepted = document_object::parse(current.value);
     if (!accepted || !accepted->intact()) {
         const std::string cause = accepted ? "its hash does not fit its text" : accepted.error().message;
@@ -152,16 +152,16 @@
     return write();
 }
 
-publication_step document_publication::handle_written(const platform::answer& answer, base::time_point now) {
-    if (std::holds_alternative<platform::written>(answer)) {
+publication_step document_publication::handle_written(const object_api::answer& answer, base::time_point now) {
+    if (std::holds_alternative<object_api::written>(answer)) {
         revision_in_force_ = document_.revision;
         return finish(publication_status::accepted, "");
     }
-    if (const platform::conflict* other = std::get_if<platform::conflict>(&answer)) {
+    if (const object_api::conflict* other = std::get_if<object_api::conflict>(&answer)) {
         newest_version_ = std::max(newest_version_, other->version);
         return retry("other writes keep changing the document", now);
     }
-    if (std::holds_alternative<platform::absent>(answer)) {
+    if (std::holds_alternative<object_api::absent>(answer)) {
         return retry("the platform serves an old copy of the document", now);
     }
     in_doubt_ = in_doubt_ || leaves_doubt(answer);
@@ -183,31 +183,31 @@
     return read();
 }
 
-publication_step proof_publication::handle(const platform::answer& answer, base::time_point now) {
-    if (std::holds_alternative<platform::written>(answer)) {
+publication_step proof_publication::handle(const object_api::answer& answer, base::time_point now) {
+    if (std::holds_alternative<object_api::written>(answer)) {
         return result_of(publication_status::accepted, "");
     }
-    if (std::holds_alternative<platform::conflict>(answer)) {
+    if (std::holds_alternative<object_api::conflict>(answer)) {
         exists_ = true;
         writing_ = false;
         return read();
     }
-    if (const platform::object* current = std::get_if<platform::object>(&answer)) {
+    if (const object_api::object* current = std::get_if<object_api::object>(&answer)) {
         return compare(*current);
     }
-    if (std::holds_alternative<platform::absent>(answer)) {
+    if (std::holds_alternative<object_api::absent>(answer)) {
         if (exists_) {
             return retry("the platform serves an old copy of the proof", now);
         }
         writing_ = true;
-        const platform::write_object create{proof::key(proof_.sha256), std::nullopt, proof_.value()};
+        const object_api::write_object create{proof::key(proof_.sha256), std::nullopt, proof_.value()};
         return delayed_call{create, {}};
     }
     in_doubt_ = in_doubt_ || (writing_ && leaves_doubt(answer));
     return retry(failure_of(answer), now);
 }
 
-publication_step proof_publication::compare(const platform::object& current) const {
+publication_step proof_publication::compare(const object_api::object& current) const {
     const base::result<proof> existing = proof::parse(current.value);
     const base::result<void> valid =
         existing ? existing->check(document_) : tl::unexpected<base::error>(existing.error());
@@ -222,7 +222,7 @@
 }
 
 publication_step proof_publication::read(base::duration delay) const {
-    return delayed_call{platform::read_object{proof::key(proof_.sha256)}, delay};
+    return delayed_call{object_api::read_object{proof::key(proof_.sha256)}, delay};
 }
 
 publication_step proof_publication::retry(std::string reason, base::time_point now) {
@@ -243,25 +243,25 @@
 
 publication_step document_promotion::start(base::time_point now) {
     retry_.start(now);
-    return delayed_call{platform::read_object{proof::key(document_.sha256)}, {}};
+    return delayed_call{object_api::read_object{proof::key(document_.sha256)}, {}};
 }
 
-publication_step document_promotion::handle(const platform::answer& answer, base::time_point now) {
+publication_step document_promotion::handle(const object_api::answer& answer, base::time_point now) {
     return proved_ ? publication_.handle(answer, now) : check_proof(answer, now);
 }
 
-publication_step document_promotion::check_proof(const platform::answer& answer, base::time_point now) {
-    if (std::holds_alternative<platform::absent>(answer)) {
+publication_step document_promotion::check_proof(const object_api::answer& answer, base::time_point now) {
+    if (std::holds_alternative<object_api::absent>(answer)) {
         return result_of(publication_status::refused, "no proof exists for sha256 " + document_.sha256 +
                                                           "; apply this file in trial and run prove first");
     }
-    const platform::object* current = std::get_if<platform::object>(&answer);
+    const object_api::object* current = std::get_if<object_api::object>(&answer);
     if (current == nullptr) {
         const std::optional<base::duration> delay = retry_.next_delay(now);
         if (!delay) {
             return give_up(false, failure_of(answer));
         }
-        return delayed_call{platform::read_object{proof::key(document_.sha256)}, *delay};
+        return delayed_call{object_api::read_object{proof::key(document_.sha256)}, *delay};
     }
     const base::result<proof> read = proof::parse(current->value);
     const base::result<void> valid =
--- a/packages/config/src/proof.cpp
+++ b/packages/config/src/proof.cpp
@@ -27,7 +27,7 @@
 
 } // namespace
 
-platform::object_key proof::key(const std::string& sha256) {
+object_api::object_key proof::key(const std::string& sha256) {
     return {"proofs", sha256};
 }
 
--- a/packages/config/test/fake_platform.hpp
+++ b/packages/config/test/fake_platform.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <rattanbay/platform.hpp>
+#include <rattanbay/object_api.hpp>
 
 #include <algorithm>
 #include <functional>
@@ -25,17 +25,17 @@
 /// Objects of the platform with all earlier values, so that reads can return old copies.
 class fake_platform {
 public:
-    using call = rattanbay::platform::call;
-    using answer_type = rattanbay::platform::answer;
-    using object_key = rattanbay::platform::object_key;
+    using call = rattanbay::object_api::call;
+    using answer_type = rattanbay::object_api::answer;
+    using object_key = rattanbay::object_api::object_key;
 
     /// Told of each write that takes effect, with its writer and value.
     std::function<void(int, const std::string&)> on_write = [](int, const std::string&) {};
 
     /// Answers a read or write; a read returns the copy that is `age` writes old.
     answer_type answer(int writer, const call& asked, fault how, std::size_t age) {
-        const rattanbay::platform::write_object* write =
-            std::get_if<rattanbay::platform::write_object>(&asked);
+        const rattanbay::object_api::write_object* write =
+            std::get_if<rattanbay::object_api::write_object>(&asked);
         const rattanbay::base::error reason{how == fault::refuse
                                                 ? rattanbay::base::error_code::connection_refused
                                                 : rattanbay::base::error_code::timed_out,
@@ -44,19 +44,19 @@
             late_.emplace_back(writer, *write);
         }
         if (how == fault::delay || how == fault::drop || how == fault::refuse) {
-            return rattanbay::platform::failed{reason};
+            return rattanbay::object_api::failed{reason};
         }
         const answer_type got = write != nullptr
                                     ? perform(writer, *write)
-                                    : read(std::get<rattanbay::platform::read_object>(asked).key, age);
-        return how == fault::lose_answer ? answer_type(rattanbay::platform::failed{reason}) : got;
+                                    : read(std::get<rattanbay::object_api::read_object>(asked).key, age);
+        return how == fault::lose_answer ? answer_type(rattanbay::object_api::failed{reason}) : got;
     }
 
     /// Copy of an object that is `age` writes old; before its first write it is absent.
     answer_type read(const object_key& key, std::size_t age) const {
         const auto it = objects_.find(key);
         if (it == objects_.end() || age >= it->second.size()) {
-            return rattanbay::platform::absent{};
+            return rattanbay::object_api::absent{};
         }
         return it->second[it->second.size() - 1 - age];
     }
@@ -67,27 +67,27 @@
             return false;
         }
         const auto it = late_.begin() + static_cast<std::ptrdiff_t>(which % late_.size());
-        const std::pair<int, rattanbay::platform::write_object> arrived = *it;
+        const std::pair<int, rattanbay::object_api::write_object> arrived = *it;
         late_.erase(it);
         perform(arrived.first, arrived.second);
         return true;
     }
 
 private:
-    answer_type perform(int writer, const rattanbay::platform::write_object& write) {
-        std::vector<rattanbay::platform::object>& copies = objects_[write.key];
+    answer_type perform(int writer, const rattanbay::object_api::write_object& write) {
+        std::vector<rattanbay::object_api::object>& copies = objects_[write.key];
         if (copies.empty() && write.expected_version) {
-            return rattanbay::platform::absent{};
+            return rattanbay::object_api::absent{};
         }
         if (!copies.empty() && write.expected_version != copies.back().version) {
-            return rattanbay::platform::conflict{copies.back().version};
+            return rattanbay::object_api::conflict{copies.back().version};
         }
         copies.push_back({++version_, write.value});
         on_write(writer, write.value);
-        return rattanbay::platform::written{version_};
+        return rattanbay::object_api::written{version_};
     }
 
     std::uint64_t version_ = 0;
-    std::map<object_key, std::vector<rattanbay::platform::object>> objects_;
-    std::vector<std::pair<int, rattanbay::platform::write_object>> late_;
+    std::map<object_key, std::vector<rattanbay::object_api::object>> objects_;
+    std::vector<std::pair<int, rattanbay::object_api::write_object>> late_;
 };
--- a/packages/config/test/promotion_test.cpp
+++ b/packages/config/test/promotion_test.cpp
@@ -9,7 +9,7 @@
 
 namespace base = rattanbay::base;
 namespace config = rattanbay::config;
-namespace platform = rattanbay::platform;
+namespace object_api = rattanbay::object_api;
 using config::publication_status;
 
 namespace {
@@ -48,8 +48,8 @@
 
 /// Puts any value under the proof's name.
 void put_proof(fake_platform& target, const std::string& sha256, const config::proof& value) {
-    const platform::write_object write{config::proof::key(sha256), std::nullopt, value.value()};
-    BOOST_REQUIRE(std::holds_alternative<platform::written>(target.answer(0, write, fault::none, 0)));
+    const object_api::write_object write{config::proof::key(sha256), std::nullopt, value.value()};
+    BOOST_REQUIRE(std::holds_alternative<object_api::written>(target.answer(0, write, fault::none, 0)));
 }
 
 } // namespace
@@ -98,17 +98,17 @@
 
 // Guards against writes that cannot succeed, as they rely on a copy known to be old.
 BOOST_AUTO_TEST_CASE(an_old_copy_is_read_again) {
-    const platform::answer old =
-        platform::object{7, config::document_object::of(example_document(2)).value()};
+    const object_api::answer old =
+        object_api::object{7, config::document_object::of(example_document(2)).value()};
     config::document_publication publication("production", example_document(3), {}, base::random_source(1));
     base::time_point now;
     publication.start(now);
     const config::publication_step write = publication.handle(old, now);
-    BOOST_CHECK(std::holds_alternative<platform::write_object>(std::get<config::delayed_call>(write).call));
-    const config::publication_step read = publication.handle(platform::conflict{9}, now);
-    BOOST_CHECK(std::holds_alternative<platform::read_object>(std::get<config::delayed_call>(read).call));
+    BOOST_CHECK(std::holds_alternative<object_api::write_object>(std::get<config::delayed_call>(write).call));
+    const config::publication_step read = publication.handle(object_api::conflict{9}, now);
+    BOOST_CHECK(std::holds_alternative<object_api::read_object>(std::get<config::delayed_call>(read).call));
     const config::publication_step again = publication.handle(old, now);
-    BOOST_CHECK(std::holds_alternative<platform::read_object>(std::get<config::delayed_call>(again).call));
+    BOOST_CHECK(std::holds_alternative<object_api::read_object>(std::get<config::delayed_call>(again).call));
 }
 
 // Guards against a lost answer being reported as a failure, or a failure as done.
--- a/packages/config/test/publication_test.cpp
+++ b/packages/config/test/publication_test.cpp
@@ -14,7 +14,7 @@
 
 namespace base = rattanbay::base;
 namespace config = rattanbay::config;
-namespace platform = rattanbay::platform;
+namespace object_api = rattanbay::object_api;
 using config::publication_status;
 
 namespace {
@@ -152,18 +152,18 @@
             return;
         }
         now_ += state.call.delay + std::chrono::milliseconds(100);
-        const bool writes = std::holds_alternative<platform::write_object>(state.call.call);
+        const bool writes = std::holds_alternative<object_api::write_object>(state.call.call);
         const bool lost = how == fault::drop || how == fault::lose_answer || how == fault::delay;
         state.doubtful = state.doubtful || (writes && lost);
-        const platform::answer got = platform_.answer(state.number, state.call.call, how, age);
+        const object_api::answer got = platform_.answer(state.number, state.call.call, how, age);
         take(state, state.running->handle(got, now_));
     }
 
     void deliver_late(std::size_t which) { platform_.deliver_late(which); }
 
     void read(std::size_t who, std::size_t age) {
-        const platform::answer got = platform_.read(config::document_object::key("production"), age);
-        if (const platform::object* found = std::get_if<platform::object>(&got)) {
+        const object_api::answer got = platform_.read(config::document_object::key("production"), age);
+        if (const object_api::object* found = std::get_if<object_api::object>(&got)) {
             check(daemons_[who], [&](config::document_adoption& to) { return to.offer_value(found->value); });
         }
     }
--- a/packages/ctl/include/rattanbay/ctl/platform_client.hpp
+++ b/packages/ctl/include/rattanbay/ctl/platform_client.hpp
@@ -2,8 +2,8 @@
 
 #include <rattanbay/base/address.hpp>
 #include <rattanbay/ctl/command_io.hpp>
-#include <rattanbay/platform/answer.hpp>
-#include <rattanbay/platform/call.hpp>
+#include <rattanbay/object_api/answer.hpp>
+#include <rattanbay/object_api/call.hpp>
 
 #include <vector>
 
@@ -17,7 +17,7 @@
 
     /// Performs a read or write. Watches are not for this client: it does not lengthen the
     /// exchange's time limits by the call's wait.
-    platform::answer perform(const platform::call& call);
+    object_api::answer perform(const object_api::call& call);
 
 private:
     command_io& io_;
--- a/packages/ctl/include/rattanbay/ctl/publishing.hpp
+++ b/packages/ctl/include/rattanbay/ctl/publishing.hpp
@@ -12,7 +12,7 @@
     config::publication_step step = publication.start(io.now());
     while (const config::delayed_call* next = std::get_if<config::delayed_call>(&step)) {
         io.wait(next->delay);
-        const platform::answer answer = target.perform(next->call);
+        const object_api::answer answer = target.perform(next->call);
         step = publication.handle(answer, io.now());
     }
     return std::get<config::publication_result>(step);
--- a/packages/ctl/src/emulate_commands.cpp
+++ b/packages/ctl/src/emulate_commands.cpp
@@ -20,8 +20,8 @@
 /// Threads that serve the stand-ins of one process.
 constexpr std::size_t emulator_threads = 4;
 
-std::vector<platform::vm> read_vms(command_io& io, const std::string& path) {
-    base::result<std::vector<platform::vm>> vms = parse_vm_file(read_file(io, path));
+std::vector<object_api::vm> read_vms(command_io& io, const std::string& path) {
+    base::result<std::vector<object_api::vm>> vms = parse_vm_file(read_file(io, path));
     if (!vms) {
         throw usage_error{path + ": " + vms.error().message};
     }
@@ -63,7 +63,7 @@
         asio::io_context context;
         emulator::platform_options options;
         options.address = parse_address(address.getValue());
-        const std::vector<platform::vm> list = read_vms(call.io, vms.getValue());
+        const std::vector<object_api::vm> list = read_vms(call.io, vms.getValue());
         base::result<std::unique_ptr<emulator::platform_service>> started =
             emulator::platform_service::start(context, options);
         if (!started) {
--- a/packages/ctl/src/internal/stand_in_list.hpp
+++ b/packages/ctl/src/internal/stand_in_list.hpp
@@ -2,7 +2,7 @@
 
 #include <rattanbay/base/error.hpp>
 #include <rattanbay/config/environment_document.hpp>
-#include <rattanbay/platform/vm_list.hpp>
+#include <rattanbay/object_api/vm_list.hpp>
 
 #include <boost/asio/io_context.hpp>
 
@@ -17,12 +17,12 @@
 namespace rattanbay::ctl::internal {
 
 /// Reads a VM list file: {"vms": [{"id", "service", "address", "failure_domain", "state"}]}.
-base::result<std::vector<platform::vm>> parse_vm_file(std::string_view text);
+base::result<std::vector<object_api::vm>> parse_vm_file(std::string_view text);
 
 /// Starts a stand-in for each VM whose service the document has. Errors: `unavailable` when an
 /// address cannot be bound.
 base::result<std::vector<std::unique_ptr<emulator::endpoint_service>>>
-start_stand_ins(boost::asio::io_context& context, const std::vector<platform::vm>& vms,
+start_stand_ins(boost::asio::io_context& context, const std::vector<object_api::vm>& vms,
                 const config::environment_document& document);
 
 } // namespace rattanbay::ctl::internal
--- a/packages/ctl/src/stand_in_list.cpp
+++ b/packages/ctl/src/stand_in_list.cpp
@@ -27,7 +27,7 @@
                                                        : emulator::worker_role::encode;
 }
 
-template <class Options> Options options_for(const platform::vm& vm, const config::service& service) {
+template <class Options> Options options_for(const object_api::vm& vm, const config::service& service) {
     Options options;
     options.address = vm.address;
     options.concurrency = service.concurrency;
@@ -35,7 +35,7 @@
     return options;
 }
 
-base::result<stand_in> start_one(boost::asio::io_context& context, const platform::vm& vm,
+base::result<stand_in> start_one(boost::asio::io_context& context, const object_api::vm& vm,
                                  const config::service& service) {
     if (service.kind == config::service_kind::model_engine) {
         emulator::engine_options options = options_for<emulator::engine_options>(vm, service);
@@ -54,21 +54,21 @@
     return widen(emulator::worker_pool::start(context, options));
 }
 
-platform::vm parse_vm(const nlohmann::json& row) {
-    platform::vm vm;
+object_api::vm parse_vm(const nlohmann::json& row) {
+    object_api::vm vm;
     vm.id = base::vm_id(row.at("id").get<std::string>());
     vm.service = base::service_name(row.at("service").get<std::string>());
     vm.failure_domain = base::failure_domain(row.at("failure_domain").get<std::string>());
     vm.address = base::address::parse(row.at("address").get<std::string>()).value_or(base::address{});
     vm.state =
-        base::from_name<platform::vm_state>(row.value("state", "live")).value_or(platform::vm_state::live);
+        base::from_name<object_api::vm_state>(row.value("state", "live")).value_or(object_api::vm_state::live);
     return vm;
 }
 
 } // namespace
 
-base::result<std::vector<platform::vm>> parse_vm_file(std::string_view text) {
-    std::vector<platform::vm> vms;
+base::result<std::vector<object_api::vm>> parse_vm_file(std::string_view text) {
+    std::vector<object_api::vm> vms;
     try {
         const nlohmann::json body = nlohmann::json::parse(text, nullptr, true, true);
         for (const nlohmann::json& row : body.at("vms")) {
@@ -87,10 +87,10 @@
 }
 
 base::result<std::vector<stand_in>> start_stand_ins(boost::asio::io_context& context,
-                                                    const std::vector<platform::vm>& vms,
+                                                    const std::vector<object_api::vm>& vms,
                                                     const config::environment_document& document) {
     std::vector<stand_in> started;
-    for (const platform::vm& vm : vms) {
+    for (const object_api::vm& vm : vms) {
         const auto it = document.services.find(vm.service);
         if (it == document.services.end()) {
             continue;
--- a/packages/ctl/test/publishing_test.cpp
+++ b/packages/ctl/test/publishing_test.cpp
@@ -1,13 +1,13 @@
 #include "fake_world.hpp"
 
 #include <rattanbay/base/hash.hpp>
-#include <rattanbay/platform/http_mapping.hpp>
+#include <rattanbay/object_api/http_mapping.hpp>
 
 #include <boost/test/unit_test.hpp>
 
 namespace base = rattanbay::base;
 namespace http = rattanbay::http;
-namespace platform = rattanbay::platform;
+namespace object_api = rattanbay::object_api;
 using nlohmann::json;
 
 namespace {
@@ -139,23 +139,23 @@
 
 // Guards against an answer that says nothing about a write being taken as one that does.
 BOOST_AUTO_TEST_CASE(platform_answers_are_told_apart) {
-    const platform::call write = platform::write_object{{"documents", "trial"}, 4, "{}"};
-    const platform::call read = platform::read_object{{"documents", "trial"}};
-    const auto answer = [](const platform::call& call, int status, const std::string& body) {
-        return platform::to_answer(call, http::json_response(status, body));
+    const object_api::call write = object_api::write_object{{"documents", "trial"}, 4, "{}"};
+    const object_api::call read = object_api::read_object{{"documents", "trial"}};
+    const auto answer = [](const object_api::call& call, int status, const std::string& body) {
+        return object_api::to_answer(call, http::json_response(status, body));
     };
-    BOOST_TEST(std::get<platform::written>(answer(write, 200, R"({"version": 5})")).version == 5U);
-    BOOST_TEST(std::get<platform::conflict>(answer(write, 412, R"({"version": 5})")).version == 5U);
-    BOOST_CHECK(std::holds_alternative<platform::absent>(answer(write, 404, "")));
-    const platform::answer found = answer(read, 200, R"({"version": 5, "value": {"b": 1, "a": "\u00e9"}})");
-    BOOST_TEST(json::parse(std::get<platform::object>(found).value)["a"] == "\u00e9");
+    BOOST_TEST(std::get<object_api::written>(answer(write, 200, R"({"version": 5})")).version == 5U);
+    BOOST_TEST(std::get<object_api::conflict>(answer(write, 412, R"({"version": 5})")).version == 5U);
+    BOOST_CHECK(std::holds_alternative<object_api::absent>(answer(write, 404, "")));
+    const object_api::answer found = answer(read, 200, R"({"version": 5, "value": {"b": 1, "a": "\u00e9"}})");
+    BOOST_TEST(json::parse(std::get<object_api::object>(found).value)["a"] == "\u00e9");
     for (const std::string& body : {std::string(), std::string("{}"), std::string(R"({"version": "5"})")}) {
-        BOOST_CHECK(std::holds_alternative<platform::failed>(answer(write, 200, body)));
-        BOOST_CHECK(std::holds_alternative<platform::failed>(answer(write, 412, body)));
-        BOOST_CHECK(std::holds_alternative<platform::failed>(answer(read, 200, body)));
+        BOOST_CHECK(std::holds_alternative<object_api::failed>(answer(write, 200, body)));
+        BOOST_CHECK(std::holds_alternative<object_api::failed>(answer(write, 412, body)));
+        BOOST_CHECK(std::holds_alternative<object_api::failed>(answer(read, 200, body)));
     }
-    BOOST_CHECK(std::holds_alternative<platform::failed>(answer(write, 503, R"({"version": 5})")));
-    BOOST_CHECK(std::holds_alternative<platform::failed>(answer(read, 200, R"({"version": 5})")));
+    BOOST_CHECK(std::holds_alternative<object_api::failed>(answer(write, 503, R"({"version": 5})")));
+    BOOST_CHECK(std::holds_alternative<object_api::failed>(answer(read, 200, R"({"version": 5})")));
 }
 
 // Guards against a lost answer or a platform that is down being told as something else.
--- a/packages/daemon/include/rattanbay/daemon/platform_adapter.hpp
+++ b/packages/daemon/include/rattanbay/daemon/platform_adapter.hpp
@@ -2,8 +2,8 @@
 
 #include <rattanbay/base/address.hpp>
 #include <rattanbay/http/client_pool.hpp>
-#include <rattanbay/platform/answer.hpp>
-#include <rattanbay/platform/call.hpp>
+#include <rattanbay/object_api/answer.hpp>
+#include <rattanbay/object_api/call.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -31,9 +31,9 @@
     /// Time beyond a watch's wait after which its connection counts as silent.
     static constexpr std::chrono::seconds usual_limit{2};
 
-    /// Makes a call; answered by `platform::failed` when no usable answer comes within `limit`, for
+    /// Makes a call; answered by `object_api::failed` when no usable answer comes within `limit`, for
     /// a watch within its wait and `limit`.
-    asio::awaitable<platform::answer> call(asio::any_io_executor executor, platform::call request,
+    asio::awaitable<object_api::answer> call(asio::any_io_executor executor, object_api::call request,
                                            base::duration limit = usual_limit);
 
 private:
--- a/packages/daemon/src/internal/shared_state.hpp
+++ b/packages/daemon/src/internal/shared_state.hpp
@@ -57,7 +57,7 @@
     const base::incarnation id;
     base::snapshot<serving_state> serving;
     base::snapshot<member_view> members;
-    base::snapshot<platform::vm_list> vms;
+    base::snapshot<object_api::vm_list> vms;
     routing::router router;
     limits::account_limits account_limits;
     http::client_pool endpoint_pool;
--- a/packages/daemon/src/internal/state_keeper.hpp
+++ b/packages/daemon/src/internal/state_keeper.hpp
@@ -46,13 +46,13 @@
     asio::awaitable<void> watch_vms();
     asio::awaitable<void> ask_seeds_at_start();
     asio::awaitable<bool> ask_peer(base::address peer_address);
-    asio::awaitable<platform::answer> call(platform::call request);
+    asio::awaitable<object_api::answer> call(object_api::call request);
     asio::awaitable<void> pause_after_failure(unsigned failures);
     asio::awaitable<void> pause(base::duration length);
     void note_platform(bool usable);
     void offer(std::string_view value);
     void adopt(const std::shared_ptr<const config::environment_document>& document);
-    void take_vms(const platform::vm_list& list);
+    void take_vms(const object_api::vm_list& list);
     void publish_table();
 
     shared_state& shared_;
--- a/packages/daemon/src/ledger_keeper.cpp
+++ b/packages/daemon/src/ledger_keeper.cpp
@@ -96,7 +96,7 @@
     asio::co_spawn(
         strand_,
         [self, action, tell]() -> asio::awaitable<void> {
-            platform::answer answer =
+            object_api::answer answer =
                 co_await self->platform_.call(self->strand_, action.request, platform_limit);
             const ledger::call_answered answered{action.call, std::move(answer)};
             tell(answered);
--- a/packages/daemon/src/operator_handler.cpp
+++ b/packages/daemon/src/operator_handler.cpp
@@ -97,7 +97,7 @@
     body["reason"] = shared_.refusal_reason().value_or("");
     body["draining"] = shared_.draining.load();
     body["requests"] = shared_.requests_in_progress.load();
-    const std::shared_ptr<const platform::vm_list> vms = shared_.vms.read();
+    const std::shared_ptr<const object_api::vm_list> vms = shared_.vms.read();
     body["vm_list_version"] = vms->version;
     body["members"] = json::array();
     for (const peer::member_record& member : view->members) {
--- a/packages/daemon/src/platform_adapter.cpp
+++ b/packages/daemon/src/platform_adapter.cpp
@@ -1,5 +1,5 @@
 #include <rattanbay/daemon/platform_adapter.hpp>
-#include <rattanbay/platform/http_mapping.hpp>
+#include <rattanbay/object_api/http_mapping.hpp>
 
 #include <cassert>
 
@@ -11,9 +11,9 @@
     assert(!addresses_.empty());
 }
 
-asio::awaitable<platform::answer> platform_adapter::call(asio::any_io_executor executor,
-                                                         platform::call request, base::duration limit) {
-    platform::http_call prepared = platform::to_http(request);
+asio::awaitable<object_api::answer> platform_adapter::call(asio::any_io_executor executor,
+                                                         object_api::call request, base::duration limit) {
+    object_api::http_call prepared = object_api::to_http(request);
     http::exchange_limits limits;
     limits.head = prepared.wait + limit;
     const std::size_t index = current_.load();
@@ -24,8 +24,8 @@
     } else {
         answer = co_await http::exchange_once(executor, address, std::move(prepared.message), limits);
     }
-    platform::answer out = platform::to_answer(request, answer);
-    const bool usable = !std::holds_alternative<platform::failed>(out);
+    object_api::answer out = object_api::to_answer(request, answer);
+    const bool usable = !std::holds_alternative<object_api::failed>(out);
     if (!usable) {
         std::size_t expected = index;
         current_.compare_exchange_strong(expected, index + 1);
--- a/packages/daemon/src/shared_state.cpp
+++ b/packages/daemon/src/shared_state.cpp
@@ -22,7 +22,7 @@
     , id(own_id)
     , serving(std::make_shared<serving_state>())
     , members(std::make_shared<member_view>())
-    , vms(std::make_shared<platform::vm_list>())
+    , vms(std::make_shared<object_api::vm_list>())
     , router(settings.failure_domain)
     , timeline(timeline_capacity)
     , seeds(entropy()) {}
--- a/packages/daemon/src/state_keeper.cpp
+++ b/packages/daemon/src/state_keeper.cpp
@@ -75,9 +75,9 @@
 }
 
 asio::awaitable<bool> state_keeper::verify() {
-    const platform::read_object request{config::document_object::key(shared_.settings.environment)};
-    const platform::answer answer = co_await call(request);
-    if (const platform::object* object = std::get_if<platform::object>(&answer)) {
+    const object_api::read_object request{config::document_object::key(shared_.settings.environment)};
+    const object_api::answer answer = co_await call(request);
+    if (const object_api::object* object = std::get_if<object_api::object>(&answer)) {
         offer(object->value);
         co_return true;
     }
@@ -94,15 +94,15 @@
 asio::awaitable<void> state_keeper::watch_document() {
     unsigned failures = 0;
     while (true) {
-        const platform::object_key key = config::document_object::key(shared_.settings.environment);
-        const platform::watch_object request{key, document_version_, watch_wait};
-        const platform::answer answer = co_await call(request);
-        if (const platform::object* object = std::get_if<platform::object>(&answer)) {
+        const object_api::object_key key = config::document_object::key(shared_.settings.environment);
+        const object_api::watch_object request{key, document_version_, watch_wait};
+        const object_api::answer answer = co_await call(request);
+        if (const object_api::object* object = std::get_if<object_api::object>(&answer)) {
             document_version_ = std::max(document_version_, object->version);
             offer(object->value);
         }
-        const bool usable = std::holds_alternative<platform::object>(answer) ||
-                            std::holds_alternative<platform::unchanged>(answer);
+        const bool usable = std::holds_alternative<object_api::object>(answer) ||
+                            std::holds_alternative<object_api::unchanged>(answer);
         failures = usable ? 0 : failures + 1;
         if (failures > 0) {
             co_await pause_after_failure(failures);
@@ -115,9 +115,9 @@
         const std::int64_t jitter =
             static_cast<std::int64_t>(random_.below(base::duration(read_period).count() / 2));
         co_await pause(read_period / 2 + base::duration(jitter));
-        const platform::read_object request{config::document_object::key(shared_.settings.environment)};
-        const platform::answer answer = co_await call(request);
-        if (const platform::object* object = std::get_if<platform::object>(&answer)) {
+        const object_api::read_object request{config::document_object::key(shared_.settings.environment)};
+        const object_api::answer answer = co_await call(request);
+        if (const object_api::object* object = std::get_if<object_api::object>(&answer)) {
             offer(object->value);
         }
     }
@@ -126,12 +126,12 @@
 asio::awaitable<void> state_keeper::watch_vms() {
     unsigned failures = 0;
     while (true) {
-        const platform::watch_vms request{shared_.vms.read()->version, watch_wait};
-        const platform::answer answer = co_await call(request);
-        if (const platform::vm_list* list = std::get_if<platform::vm_list>(&answer)) {
+        const object_api::watch_vms request{shared_.vms.read()->version, watch_wait};
+        const object_api::answer answer = co_await call(request);
+        if (const object_api::vm_list* list = std::get_if<object_api::vm_list>(&answer)) {
             take_vms(*list);
         }
-        failures = std::holds_alternative<platform::failed>(answer) ? failures + 1 : 0;
+        failures = std::holds_alternative<object_api::failed>(answer) ? failures + 1 : 0;
         if (failures > 0) {
             co_await pause_after_failure(failures);
         }
@@ -172,9 +172,9 @@
     co_return true;
 }
 
-asio::awaitable<platform::answer> state_keeper::call(platform::call request) {
-    platform::answer answer = co_await platform_.call(strand_, std::move(request));
-    note_platform(!std::holds_alternative<platform::failed>(answer));
+asio::awaitable<object_api::answer> state_keeper::call(object_api::call request) {
+    object_api::answer answer = co_await platform_.call(strand_, std::move(request));
+    note_platform(!std::holds_alternative<object_api::failed>(answer));
     co_return answer;
 }
 
@@ -236,11 +236,11 @@
     shared_.record({}, telemetry::timeline_event::document_adopted, {{"revision", revision}});
 }
 
-void state_keeper::take_vms(const platform::vm_list& list) {
+void state_keeper::take_vms(const object_api::vm_list& list) {
     if (list.version <= shared_.vms.read()->version) {
         return;
     }
-    shared_.vms.publish(std::make_shared<platform::vm_list>(list));
+    shared_.vms.publish(std::make_shared<object_api::vm_list>(list));
     publish_table();
     telemetry::log(telemetry::log_event::vm_list_changed,
                    {{"version", std::to_string(list.version)}, {"vms", std::to_string(list.vms.size())}});
--- a/packages/daemon/test/installation.hpp
+++ b/packages/daemon/test/installation.hpp
@@ -69,13 +69,13 @@
         const rattanbay::config::environment_document document =
             rattanbay::config::environment_document::parse(document_text(revision)).value();
         const rattanbay::config::document_object object = rattanbay::config::document_object::of(document);
-        rattanbay::platform::write_object write{rattanbay::config::document_object::key("production"),
+        rattanbay::object_api::write_object write{rattanbay::config::document_object::key("production"),
                                                 document_version_, object.value()};
-        const rattanbay::platform::answer answer = call(write);
-        document_version_ = std::get<rattanbay::platform::written>(answer).version;
+        const rattanbay::object_api::answer answer = call(write);
+        document_version_ = std::get<rattanbay::object_api::written>(answer).version;
     }
 
-    rattanbay::platform::answer call(rattanbay::platform::call request) {
+    rattanbay::object_api::answer call(rattanbay::object_api::call request) {
         return boost::asio::co_spawn(context_, adapter_->call(context_.get_executor(), std::move(request)),
                                      boost::asio::use_future)
             .get();
@@ -196,25 +196,25 @@
     rattanbay::base::address operator_address(std::size_t n) const { return address(n + 1, 9000); }
 
     void set_vms(bool desk_leaving = false) {
-        using rattanbay::platform::vm;
+        using rattanbay::object_api::vm;
         std::vector<vm> vms;
         const auto add = [&vms](const std::string& service, std::size_t n,
-                                const rattanbay::base::address& where, rattanbay::platform::vm_state state) {
+                                const rattanbay::base::address& where, rattanbay::object_api::vm_state state) {
             const std::string domain(1, static_cast<char>('a' + n % 3));
             vms.push_back(vm{rattanbay::base::vm_id(service + "-" + std::to_string(n)),
                              rattanbay::base::service_name(service), where,
                              rattanbay::base::failure_domain(domain), state});
         };
         for (std::size_t n = 0; n < encoders.size(); ++n) {
-            add("encoder", n, encoders[n]->address(), rattanbay::platform::vm_state::live);
+            add("encoder", n, encoders[n]->address(), rattanbay::object_api::vm_state::live);
         }
         for (std::size_t n = 0; n < desks.size(); ++n) {
             const bool leaving = desk_leaving && n == 0;
             add("order-desk", n, desks[n]->address(),
-                leaving ? rattanbay::platform::vm_state::leaving : rattanbay::platform::vm_state::live);
+                leaving ? rattanbay::object_api::vm_state::leaving : rattanbay::object_api::vm_state::live);
         }
         for (std::size_t n = 0; n < engines.size(); ++n) {
-            add("writer", n, engines[n]->address(), rattanbay::platform::vm_state::live);
+            add("writer", n, engines[n]->address(), rattanbay::object_api::vm_state::live);
         }
         platform->set_vms(std::move(vms));
     }
--- a/packages/emulator/include/rattanbay/emulator/lagged_vm_list.hpp
+++ b/packages/emulator/include/rattanbay/emulator/lagged_vm_list.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <rattanbay/base/time.hpp>
-#include <rattanbay/platform/vm_list.hpp>
+#include <rattanbay/object_api/vm_list.hpp>
 
 #include <deque>
 #include <optional>
@@ -16,10 +16,10 @@
         : lag_(lag) {}
 
     /// Sets the list; its version is above those of earlier lists.
-    void set(platform::vm_list list, base::time_point now);
+    void set(object_api::vm_list list, base::time_point now);
 
     /// The list that readers see at `at`; version 0 when none is visible yet.
-    platform::vm_list visible(base::time_point at) const;
+    object_api::vm_list visible(base::time_point at) const;
 
     /// When the next list becomes visible after `at`, if one is set.
     std::optional<base::time_point> next_change(base::time_point at) const;
@@ -27,7 +27,7 @@
 private:
     struct entry {
         base::time_point from;
-        platform::vm_list list;
+        object_api::vm_list list;
     };
 
     /// Lists kept for stale reads.
--- a/packages/emulator/include/rattanbay/emulator/object_store.hpp
+++ b/packages/emulator/include/rattanbay/emulator/object_store.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <rattanbay/base/time.hpp>
-#include <rattanbay/platform/answer.hpp>
-#include <rattanbay/platform/call.hpp>
+#include <rattanbay/object_api/answer.hpp>
+#include <rattanbay/object_api/call.hpp>
 
 #include <cstdint>
 #include <deque>
@@ -23,17 +23,17 @@
 
     /// State of an object at `at`: `object` or `absent`. Times before the history give the oldest
     /// state that is kept.
-    platform::answer read(const platform::object_key& key, base::time_point at) const;
+    object_api::answer read(const object_api::object_key& key, base::time_point at) const;
 
     /// Names and versions of the objects of a kind at `at`.
-    platform::listing list(const std::string& kind, base::time_point at) const;
+    object_api::listing list(const std::string& kind, base::time_point at) const;
 
     /// Writes if the condition holds: `written`, `conflict`, or `absent` when a version is expected
     /// of an object that does not exist.
-    platform::answer write(const platform::write_object& call, base::time_point now);
+    object_api::answer write(const object_api::write_object& call, base::time_point now);
 
     /// Deletes if the version is the expected one: `deleted`, `conflict` or `absent`.
-    platform::answer remove(const platform::delete_object& call, base::time_point now);
+    object_api::answer remove(const object_api::delete_object& call, base::time_point now);
 
     /// Takes the next version, for state that is kept elsewhere but shares the numbering.
     std::uint64_t take_version() { return ++version_; }
@@ -50,13 +50,13 @@
     /// States of one object, oldest first.
     using states = std::deque<state>;
 
-    const state* current(const platform::object_key& key) const;
+    const state* current(const object_api::object_key& key) const;
     static const state* state_at(const states& list, base::time_point at);
-    void append(const platform::object_key& key, state next);
+    void append(const object_api::object_key& key, state next);
 
     base::duration history_;
     std::uint64_t version_ = 0;
-    std::map<platform::object_key, states> objects_;
+    std::map<object_api::object_key, states> objects_;
 };
 
 } // namespace rattanbay::emulator
--- a/packages/emulator/include/rattanbay/emulator/platform_service.hpp
+++ b/packages/emulator/include/rattanbay/emulator/platform_service.hpp
@@ -4,7 +4,7 @@
 #include <rattanbay/base/error.hpp>
 #include <rattanbay/base/time.hpp>
 #include <rattanbay/emulator/platform_fault.hpp>
-#include <rattanbay/platform/vm_list.hpp>
+#include <rattanbay/object_api/vm_list.hpp>
 
 #include <boost/asio/io_context.hpp>
 
@@ -47,7 +47,7 @@
     virtual void stop() = 0;
 
     /// Sets the VM list; readers see it after the lag.
-    virtual void set_vms(std::vector<platform::vm> vms) = 0;
+    virtual void set_vms(std::vector<object_api::vm> vms) = 0;
 
     /// Sets the fault that applies from now on.
     virtual void set_fault(platform_fault fault) = 0;
--- a/packages/emulator/src/internal/platform_json.cpp
+++ b/packages/emulator/src/internal/platform_json.cpp
@@ -10,37 +10,37 @@
 
 /// Writes each alternative of an answer as a response.
 struct answer_writer {
-    http::response operator()(const platform::object& value) const {
+    http::response operator()(const object_api::object& value) const {
         // The value is JSON text already.
         return http::json_response(200, "{\"version\":" + std::to_string(value.version) +
                                             ",\"value\":" + value.value + "}");
     }
 
-    http::response operator()(const platform::written& value) const {
+    http::response operator()(const object_api::written& value) const {
         return version_only(200, value.version);
     }
 
-    http::response operator()(const platform::conflict& value) const {
+    http::response operator()(const object_api::conflict& value) const {
         return version_only(412, value.version);
     }
 
-    http::response operator()(const platform::deleted&) const { return http::json_response(200, "{}"); }
+    http::response operator()(const object_api::deleted&) const { return http::json_response(200, "{}"); }
 
-    http::response operator()(const platform::absent&) const { return error_response(404, "no such object"); }
+    http::response operator()(const object_api::absent&) const { return error_response(404, "no such object"); }
 
-    http::response operator()(const platform::unchanged&) const { return http::response{204, {}, ""}; }
+    http::response operator()(const object_api::unchanged&) const { return http::response{204, {}, ""}; }
 
-    http::response operator()(const platform::listing& value) const {
+    http::response operator()(const object_api::listing& value) const {
         json objects = json::array();
-        for (const platform::listing::row& row : value.objects) {
+        for (const object_api::listing::row& row : value.objects) {
             objects.push_back({{"name", row.name}, {"version", row.version}});
         }
         return http::json_response(200, json{{"objects", std::move(objects)}}.dump());
     }
 
-    http::response operator()(const platform::vm_list& value) const {
+    http::response operator()(const object_api::vm_list& value) const {
         json vms = json::array();
-        for (const platform::vm& row : value.vms) {
+        for (const object_api::vm& row : value.vms) {
             vms.push_back({{"id", row.id.text()},
                            {"service", row.service.text()},
                            {"address", row.address.text()},
@@ -50,7 +50,7 @@
         return http::json_response(200, json{{"version", value.version}, {"vms", std::move(vms)}}.dump());
     }
 
-    http::response operator()(const platform::failed& value) const {
+    http::response operator()(const object_api::failed& value) const {
         return error_response(500, value.reason.message);
     }
 
@@ -60,7 +60,7 @@
     }
 };
 
-base::result<platform::vm> parse_vm(const json& row) {
+base::result<object_api::vm> parse_vm(const json& row) {
     for (const char* name : {"id", "service", "address", "failure_domain"}) {
         if (!row.is_object() || !row.contains(name) || !row[name].is_string()) {
             return base::fail(base::error_code::invalid_input,
@@ -72,20 +72,20 @@
         return tl::unexpected<base::error>(address.error());
     }
     const json state = row.value("state", json("live"));
-    const std::optional<platform::vm_state> known =
-        state.is_string() ? base::from_name<platform::vm_state>(state.get<std::string>()) : std::nullopt;
+    const std::optional<object_api::vm_state> known =
+        state.is_string() ? base::from_name<object_api::vm_state>(state.get<std::string>()) : std::nullopt;
     if (!known) {
         return base::fail(base::error_code::invalid_input,
                           "'state' of a VM has to be \"live\" or \"leaving\"");
     }
-    return platform::vm{base::vm_id(row["id"].get<std::string>()),
+    return object_api::vm{base::vm_id(row["id"].get<std::string>()),
                         base::service_name(row["service"].get<std::string>()), *address,
                         base::failure_domain(row["failure_domain"].get<std::string>()), *known};
 }
 
 } // namespace
 
-http::response to_response(const platform::answer& value) {
+http::response to_response(const object_api::answer& value) {
     return std::visit(answer_writer{}, value);
 }
 
@@ -93,15 +93,15 @@
     return http::json_response(status, json{{"error", std::string(message)}}.dump());
 }
 
-base::result<std::vector<platform::vm>> parse_vms(std::string_view text) {
+base::result<std::vector<object_api::vm>> parse_vms(std::string_view text) {
     const json document = json::parse(text, nullptr, false);
     if (!document.is_object() || !document.contains("vms") || !document["vms"].is_array()) {
         return base::fail(base::error_code::invalid_input,
                           "the body has to be an object with the array 'vms'");
     }
-    std::vector<platform::vm> vms;
+    std::vector<object_api::vm> vms;
     for (const json& row : document["vms"]) {
-        base::result<platform::vm> parsed = parse_vm(row);
+        base::result<object_api::vm> parsed = parse_vm(row);
         if (!parsed) {
             return tl::unexpected<base::error>(parsed.error());
         }
--- a/packages/emulator/src/internal/platform_json.hpp
+++ b/packages/emulator/src/internal/platform_json.hpp
@@ -3,8 +3,8 @@
 #include <rattanbay/base/error.hpp>
 #include <rattanbay/emulator/platform_fault.hpp>
 #include <rattanbay/http/message.hpp>
-#include <rattanbay/platform/answer.hpp>
-#include <rattanbay/platform/vm_list.hpp>
+#include <rattanbay/object_api/answer.hpp>
+#include <rattanbay/object_api/vm_list.hpp>
 
 #include <string>
 #include <string_view>
@@ -13,13 +13,13 @@
 namespace rattanbay::emulator::internal {
 
 /// HTTP response that carries an answer of the object API.
-http::response to_response(const platform::answer& value);
+http::response to_response(const object_api::answer& value);
 
 /// Response with a JSON body {"error": message}.
 http::response error_response(int status, std::string_view message);
 
 /// Parses {"vms":[{"id","service","address","failure_domain","state"}]}: `invalid_input`.
-base::result<std::vector<platform::vm>> parse_vms(std::string_view text);
+base::result<std::vector<object_api::vm>> parse_vms(std::string_view text);
 
 /// Parses {"mode","delay_ms"}: `invalid_input`.
 base::result<platform_fault> parse_platform_fault(std::string_view text);
--- a/packages/emulator/src/internal/platform_state.cpp
+++ b/packages/emulator/src/internal/platform_state.cpp
@@ -30,9 +30,9 @@
 }
 
 /// Splits "kind/name"; the name is empty for a kind alone.
-std::optional<platform::object_key> parse_key(std::string_view text) {
+std::optional<object_api::object_key> parse_key(std::string_view text) {
     const std::size_t slash = text.find('/');
-    platform::object_key key;
+    object_api::object_key key;
     key.kind = std::string(text.substr(0, slash));
     if (slash != std::string_view::npos) {
         key.name = std::string(text.substr(slash + 1));
@@ -98,7 +98,7 @@
         return true;
     }
     if (message.method == "PUT" && path == "/v1/vms") {
-        base::result<std::vector<platform::vm>> parsed = parse_vms(message.body);
+        base::result<std::vector<object_api::vm>> parsed = parse_vms(message.body);
         answer = parsed ? http::json_response(200, json{{"version", set_vms(std::move(*parsed))}}.dump())
                         : error_response(400, parsed.error().message);
         return true;
@@ -108,7 +108,7 @@
 
 asio::awaitable<http::response> platform_state::handle_objects(const http::request& message) {
     const std::string_view path = http::path_of(message.target);
-    const std::optional<platform::object_key> key = parse_key(path.substr(objects_path.size()));
+    const std::optional<object_api::object_key> key = parse_key(path.substr(objects_path.size()));
     if (!key) {
         co_return error_response(400, "the path has to be /v1/objects/{kind}/{name}");
     }
@@ -129,15 +129,15 @@
 
 asio::awaitable<http::response> platform_state::handle_watch(const http::request& message) {
     const std::string_view path = http::path_of(message.target);
-    const std::optional<platform::object_key> key = parse_key(path.substr(watch_path.size()));
+    const std::optional<object_api::object_key> key = parse_key(path.substr(watch_path.size()));
     if (!key || key->name.empty() || message.method != "GET") {
         co_return error_response(400, "the call has to be GET /v1/watch/{kind}/{name}");
     }
     count("watch");
     const std::uint64_t after = number_parameter(message, "after");
-    look look_at = [this, key, after](base::time_point at) -> std::optional<platform::answer> {
-        platform::answer found = store_.read(*key, at);
-        const platform::object* const present = std::get_if<platform::object>(&found);
+    look look_at = [this, key, after](base::time_point at) -> std::optional<object_api::answer> {
+        object_api::answer found = store_.read(*key, at);
+        const object_api::object* const present = std::get_if<object_api::object>(&found);
         if (present == nullptr || present->version <= after) {
             return std::nullopt;
         }
@@ -154,8 +154,8 @@
     }
     count("watch_vms");
     const std::uint64_t after = number_parameter(message, "after");
-    look look_at = [this, after](base::time_point at) -> std::optional<platform::answer> {
-        platform::vm_list list = vms_.visible(at);
+    look look_at = [this, after](base::time_point at) -> std::optional<object_api::answer> {
+        object_api::vm_list list = vms_.visible(at);
         if (after != 0 && list.version <= after) {
             return std::nullopt;
         }
@@ -176,7 +176,7 @@
         base::duration wait = end - now();
         {
             const std::lock_guard<std::mutex> lock(mutex_);
-            const std::optional<platform::answer> found = look_at(read_time());
+            const std::optional<object_api::answer> found = look_at(read_time());
             if (found) {
                 co_return to_response(*found);
             }
@@ -185,13 +185,13 @@
             wait = changes_with_time ? std::min(wait, longest_wait) : wait;
         }
         if (stopped_ || wait <= base::duration::zero()) {
-            co_return to_response(platform::unchanged{});
+            co_return to_response(object_api::unchanged{});
         }
         co_await change_signal::wait(entered, wait);
     }
 }
 
-http::response platform_state::read_or_list(const platform::object_key& key) {
+http::response platform_state::read_or_list(const object_api::object_key& key) {
     count(key.name.empty() ? "list" : "read");
     const std::lock_guard<std::mutex> lock(mutex_);
     if (key.name.empty()) {
@@ -200,11 +200,11 @@
     return to_response(store_.read(key, read_time()));
 }
 
-http::response platform_state::write(const http::request& message, const platform::object_key& key) {
+http::response platform_state::write(const http::request& message, const object_api::object_key& key) {
     count("write");
     const std::optional<std::string> expected = message.fields.find("If-Match");
     const std::optional<std::string> absent = message.fields.find("If-None-Match");
-    platform::write_object call{key, std::nullopt, message.body};
+    object_api::write_object call{key, std::nullopt, message.body};
     if (expected) {
         call.expected_version = to_number(*expected);
     }
@@ -214,7 +214,7 @@
     if (!json::accept(message.body)) {
         return error_response(400, "the value has to be JSON");
     }
-    platform::answer done;
+    object_api::answer done;
     {
         const std::lock_guard<std::mutex> lock(mutex_);
         done = store_.write(call, now());
@@ -223,24 +223,24 @@
     return to_response(done);
 }
 
-http::response platform_state::remove(const http::request& message, const platform::object_key& key) {
+http::response platform_state::remove(const http::request& message, const object_api::object_key& key) {
     count("delete");
     const std::optional<std::string> expected = message.fields.find("If-Match");
     const std::optional<std::uint64_t> version = expected ? to_number(*expected) : std::nullopt;
     if (!version) {
         return error_response(428, "a deletion needs If-Match with a version");
     }
-    const platform::delete_object call{key, *version};
+    const object_api::delete_object call{key, *version};
     const std::lock_guard<std::mutex> lock(mutex_);
     return to_response(store_.remove(call, now()));
 }
 
-std::uint64_t platform_state::set_vms(std::vector<platform::vm> vms) {
+std::uint64_t platform_state::set_vms(std::vector<object_api::vm> vms) {
     std::uint64_t version = 0;
     {
         const std::lock_guard<std::mutex> lock(mutex_);
         version = store_.take_version();
-        vms_.set(platform::vm_list{version, std::move(vms)}, now());
+        vms_.set(object_api::vm_list{version, std::move(vms)}, now());
     }
     changed_.notify();
     return version;
--- a/packages/emulator/src/internal/platform_state.hpp
+++ b/packages/emulator/src/internal/platform_state.hpp
@@ -26,7 +26,7 @@
     asio::awaitable<void> handle(const http::request& message, http::responder& out);
 
     /// Sets the VM list and returns its version.
-    std::uint64_t set_vms(std::vector<platform::vm> vms);
+    std::uint64_t set_vms(std::vector<object_api::vm> vms);
 
     void set_fault(platform_fault fault);
 
@@ -37,16 +37,16 @@
 
 private:
     /// Reads the state at a point in time; nothing while a watch has to go on waiting.
-    using look = std::function<std::optional<platform::answer>(base::time_point)>;
+    using look = std::function<std::optional<object_api::answer>(base::time_point)>;
 
     bool handle_control(const http::request& message, http::response& answer);
     asio::awaitable<http::response> handle_objects(const http::request& message);
     asio::awaitable<http::response> handle_watch(const http::request& message);
     asio::awaitable<http::response> handle_vms(const http::request& message);
     asio::awaitable<http::response> watch(look look_at, base::duration limit);
-    http::response read_or_list(const platform::object_key& key);
-    http::response write(const http::request& message, const platform::object_key& key);
-    http::response remove(const http::request& message, const platform::object_key& key);
+    http::response read_or_list(const object_api::object_key& key);
+    http::response write(const http::request& message, const object_api::object_key& key);
+    http::response remove(const http::request& message, const object_api::object_key& key);
     void count(const char* kind);
     platform_fault fault() const;
     /// Time of the state that reads see; earlier than now with the fault `stale`.
--- a/packages/emulator/src/lagged_vm_list.cpp
+++ b/packages/emulator/src/lagged_vm_list.cpp
@@ -2,7 +2,7 @@
 
 namespace rattanbay::emulator {
 
-void lagged_vm_list::set(platform::vm_list list, base::time_point now) {
+void lagged_vm_list::set(object_api::vm_list list, base::time_point now) {
     const base::time_point from = entries_.empty() ? base::time_point::min() : now + lag_;
     entries_.push_back(entry{from, std::move(list)});
     if (entries_.size() > max_entries) {
@@ -10,7 +10,7 @@
     }
 }
 
-platform::vm_list lagged_vm_list::visible(base::time_point at) const {
+object_api::vm_list lagged_vm_list::visible(base::time_point at) const {
     for (auto it = entries_.rbegin(); it != entries_.rend(); ++it) {
         if (it->from <= at) {
             return it->list;
--- a/packages/emulator/src/object_store.cpp
+++ b/packages/emulator/src/object_store.cpp
@@ -2,17 +2,17 @@
 
 namespace rattanbay::emulator {
 
-platform::answer object_store::read(const platform::object_key& key, base::time_point at) const {
+object_api::answer object_store::read(const object_api::object_key& key, base::time_point at) const {
     const auto it = objects_.find(key);
     const state* found = it == objects_.end() ? nullptr : state_at(it->second, at);
     if (found == nullptr || !found->value) {
-        return platform::absent{};
+        return object_api::absent{};
     }
-    return platform::object{found->version, *found->value};
+    return object_api::object{found->version, *found->value};
 }
 
-platform::listing object_store::list(const std::string& kind, base::time_point at) const {
-    platform::listing out;
+object_api::listing object_store::list(const std::string& kind, base::time_point at) const {
+    object_api::listing out;
     for (auto it = objects_.lower_bound({kind, ""}); it != objects_.end() && it->first.kind == kind; ++it) {
         const state* found = state_at(it->second, at);
         if (found != nullptr && found->value) {
@@ -22,33 +22,33 @@
     return out;
 }
 
-platform::answer object_store::write(const platform::write_object& call, base::time_point now) {
+object_api::answer object_store::write(const object_api::write_object& call, base::time_point now) {
     const state* present = current(call.key);
     if (call.expected_version && present == nullptr) {
-        return platform::absent{};
+        return object_api::absent{};
     }
     const std::uint64_t version = present == nullptr ? 0 : present->version;
     if (call.expected_version.value_or(0) != version) {
-        return platform::conflict{version};
+        return object_api::conflict{version};
     }
     const std::uint64_t next = take_version();
     append(call.key, {now, next, std::make_shared<const std::string>(call.value)});
-    return platform::written{next};
+    return object_api::written{next};
 }
 
-platform::answer object_store::remove(const platform::delete_object& call, base::time_point now) {
+object_api::answer object_store::remove(const object_api::delete_object& call, base::time_point now) {
     const state* present = current(call.key);
     if (present == nullptr) {
-        return platform::absent{};
+        return object_api::absent{};
     }
     if (call.expected_version != present->version) {
-        return platform::conflict{present->version};
+        return object_api::conflict{present->version};
     }
     append(call.key, {now, take_version(), nullptr});
-    return platform::deleted{};
+    return object_api::deleted{};
 }
 
-const object_store::state* object_store::current(const platform::object_key& key) const {
+const object_store::state* object_store::current(const object_api::object_key& key) const {
     const auto it = objects_.find(key);
     return it == objects_.end() || !it->second.back().value ? nullptr : &it->second.back();
 }
@@ -62,7 +62,7 @@
     return &list.front();
 }
 
-void object_store::append(const platform::object_key& key, state next) {
+void object_store::append(const object_api::object_key& key, state next) {
     states& list = objects_[key];
     if (list.empty()) {
         // The object did not exist before its first state.
--- a/packages/emulator/src/platform_service.cpp
+++ b/packages/emulator/src/platform_service.cpp
@@ -22,7 +22,7 @@
 
     void stop() override { stop_serving(); }
 
-    void set_vms(std::vector<platform::vm> vms) override { state_->set_vms(std::move(vms)); }
+    void set_vms(std::vector<object_api::vm> vms) override { state_->set_vms(std::move(vms)); }
 
     void set_fault(platform_fault fault) override { state_->set_fault(fault); }
 
--- a/packages/ledger/benchmark/ledger_benchmark.cpp
+++ b/packages/ledger/benchmark/ledger_benchmark.cpp
@@ -23,7 +23,7 @@
 
 namespace base = rattanbay::base;
 namespace ledger = rattanbay::ledger;
-namespace platform = rattanbay::platform;
+namespace object_api = rattanbay::object_api;
 namespace test = rattanbay::ledger::test;
 using namespace std::chrono_literals;
 
@@ -85,12 +85,12 @@
     test::fake_platform store;
     const auto bookings = static_cast<std::size_t>(bookings_per_second * 60);
     for (std::size_t n = 0; n < bookings; ++n) {
-        const platform::object_key object{"requests", base::secure_hash(std::to_string(n)).text()};
+        const object_api::object_key object{"requests", base::secure_hash(std::to_string(n)).text()};
         const std::string body = R"({"b":")" + base::fast_hash("body").text() + R"(","n":"0123456789abcdef")";
-        const platform::answer first =
-            store.apply(platform::write_object{object, std::nullopt, body + "}"}, {});
+        const object_api::answer first =
+            store.apply(object_api::write_object{object, std::nullopt, body + "}"}, {});
         const std::string whole = body + R"(,"s":200,"a":")" + std::string(answer_bytes, 'a') + R"("})";
-        store.apply(platform::write_object{object, std::get<platform::written>(first).version, whole}, {});
+        store.apply(object_api::write_object{object, std::get<object_api::written>(first).version, whole}, {});
     }
     const double latency = base::to_milliseconds(test::single_owner::platform_time);
     return {static_cast<double>(store.writes()) / 60,
--- a/packages/ledger/include/rattanbay/ledger/owner.hpp
+++ b/packages/ledger/include/rattanbay/ledger/owner.hpp
@@ -4,8 +4,8 @@
 #include <rattanbay/base/random_source.hpp>
 #include <rattanbay/base/time.hpp>
 #include <rattanbay/ledger/reply.hpp>
-#include <rattanbay/platform/answer.hpp>
-#include <rattanbay/platform/call.hpp>
+#include <rattanbay/object_api/answer.hpp>
+#include <rattanbay/object_api/call.hpp>
 
 #include <cstddef>
 #include <cstdint>
@@ -58,7 +58,7 @@
 /// A platform call was answered.
 struct call_answered {
     call_id call = 0;
-    platform::answer answer;
+    object_api::answer answer;
 };
 
 /// The time `next_wakeup` has come.
@@ -85,7 +85,7 @@
 /// timeout of 100 ms leaves time to settle a lost answer within the commit limit.
 struct make_call {
     call_id call = 0;
-    platform::call request;
+    object_api::call request;
 };
 
 /// The record is sealed after a `stop_asked`, or the platform could not be reached for it.
--- a/packages/ledger/src/internal/group_committer.cpp
+++ b/packages/ledger/src/internal/group_committer.cpp
@@ -95,13 +95,13 @@
     seal_asked_ = true;
 }
 
-std::optional<platform::call> group_committer::next_call(base::time_point now, base::random_source& random) {
+std::optional<object_api::call> group_committer::next_call(base::time_point now, base::random_source& random) {
     if (now < due()) {
         return std::nullopt;
     }
     if (settle_) {
         phase_ = phase::settling;
-        return platform::read_object{head_key(ledger_)};
+        return object_api::read_object{head_key(ledger_)};
     }
     if (move_wanted()) {
         phase_ = phase::moving;
@@ -138,7 +138,7 @@
     return end;
 }
 
-platform::call group_committer::commit_call(base::time_point now, base::random_source& random) {
+object_api::call group_committer::commit_call(base::time_point now, base::random_source& random) {
     const std::uint64_t end = batch_end();
     // The seal comes with the last batch, as nothing can be added after it.
     const bool sealed = seal_asked_ && (rows_.empty() || rows_.back().position <= end);
@@ -154,10 +154,10 @@
     const record_head head{attempts_.back().commit, sealed, first_window_, segments_};
     next_commit_ = now + interval_;
     dirty_ = false;
-    return platform::write_object{head_key(ledger_), version_, encode_head(head, joined)};
+    return object_api::write_object{head_key(ledger_), version_, encode_head(head, joined)};
 }
 
-platform::call group_committer::move_call() {
+object_api::call group_committer::move_call() {
     std::string joined;
     for (const row& it : rows_) {
         if (it.position > confirmed_) {
@@ -166,15 +166,15 @@
         joined += joined.empty() ? "" : ",";
         joined += it.text;
     }
-    return platform::write_object{segment_key(ledger_, next_segment_), std::nullopt, encode_segment(joined)};
+    return object_api::write_object{segment_key(ledger_, next_segment_), std::nullopt, encode_segment(joined)};
 }
 
-platform::call group_committer::delete_call() {
-    return platform::delete_object{segment_key(ledger_, deletable_.front()),
+object_api::call group_committer::delete_call() {
+    return object_api::delete_object{segment_key(ledger_, deletable_.front()),
                                    segment_versions_[deletable_.front()]};
 }
 
-void group_committer::answered(const platform::answer& given, base::time_point now,
+void group_committer::answered(const object_api::answer& given, base::time_point now,
                                base::random_source& random) {
     const phase ended = phase_;
     phase_ = phase::idle;
@@ -196,25 +196,25 @@
     }
 }
 
-void group_committer::commit_answered(const platform::answer& given, base::time_point now,
+void group_committer::commit_answered(const object_api::answer& given, base::time_point now,
                                       base::random_source& random) {
-    if (const platform::written* done = std::get_if<platform::written>(&given)) {
+    if (const object_api::written* done = std::get_if<object_api::written>(&given)) {
         confirm(attempt(attempts_.back()), done->version);
         return;
     }
     settle_ = true;
-    if (std::holds_alternative<platform::failed>(given)) {
+    if (std::holds_alternative<object_api::failed>(given)) {
         call_failed(now, random);
         // The first failure may be a lost answer, and keys wait for its outcome.
         next_try_ = backoff_.failures() == 1 ? now : next_try_;
     }
 }
 
-void group_committer::settle_answered(const platform::answer& given, base::time_point now,
+void group_committer::settle_answered(const object_api::answer& given, base::time_point now,
                                       base::random_source& random) {
-    if (const platform::object* head = std::get_if<platform::object>(&given)) {
+    if (const object_api::object* head = std::get_if<object_api::object>(&given)) {
         head_read(*head, now, random);
-    } else if (std::holds_alternative<platform::absent>(given)) {
+    } else if (std::holds_alternative<object_api::absent>(given)) {
         settle_ = false;
         condition_ = version_ ? record_condition::lost : condition_;
     } else {
@@ -222,7 +222,7 @@
     }
 }
 
-void group_committer::head_read(const platform::object& head, base::time_point now,
+void group_committer::head_read(const object_api::object& head, base::time_point now,
                                 base::random_source& random) {
     if (version_ && head.version < *version_) {
         // An old copy; the next read may give the real one.
@@ -279,11 +279,11 @@
     next_try_ = now + backoff_.fail(random);
 }
 
-void group_committer::move_answered(const platform::answer& given, base::time_point now,
+void group_committer::move_answered(const object_api::answer& given, base::time_point now,
                                     base::random_source& random) {
-    if (const platform::written* done = std::get_if<platform::written>(&given)) {
+    if (const object_api::written* done = std::get_if<object_api::written>(&given)) {
         finish_move(done->version);
-    } else if (const platform::conflict* exists = std::get_if<platform::conflict>(&given)) {
+    } else if (const object_api::conflict* exists = std::get_if<object_api::conflict>(&given)) {
         // Only this process writes the name, and it repeats the same rows until one write succeeds.
         finish_move(exists->version);
     } else {
@@ -315,11 +315,11 @@
     backoff_.succeed();
 }
 
-void group_committer::delete_answered(const platform::answer& given, base::time_point now,
+void group_committer::delete_answered(const object_api::answer& given, base::time_point now,
                                       base::random_source& random) {
-    if (const platform::conflict* other = std::get_if<platform::conflict>(&given)) {
+    if (const object_api::conflict* other = std::get_if<object_api::conflict>(&given)) {
         segment_versions_[deletable_.front()] = other->version;
-    } else if (std::holds_alternative<platform::failed>(given)) {
+    } else if (std::holds_alternative<object_api::failed>(given)) {
         call_failed(now, random);
     } else {
         segment_versions_.erase(deletable_.front());
--- a/packages/ledger/src/internal/group_committer.hpp
+++ b/packages/ledger/src/internal/group_committer.hpp
@@ -6,8 +6,8 @@
 #include <rattanbay/base/incarnation.hpp>
 #include <rattanbay/base/random_source.hpp>
 #include <rattanbay/base/time.hpp>
-#include <rattanbay/platform/answer.hpp>
-#include <rattanbay/platform/call.hpp>
+#include <rattanbay/object_api/answer.hpp>
+#include <rattanbay/object_api/call.hpp>
 
 #include <cstddef>
 #include <cstdint>
@@ -66,10 +66,10 @@
     void seal();
 
     /// The call to make now, if one is due.
-    std::optional<platform::call> next_call(base::time_point now, base::random_source& random);
+    std::optional<object_api::call> next_call(base::time_point now, base::random_source& random);
 
     /// Takes the answer to the call in flight.
-    void answered(const platform::answer& given, base::time_point now, base::random_source& random);
+    void answered(const object_api::answer& given, base::time_point now, base::random_source& random);
 
 private:
     enum class phase { idle, committing, settling, moving, deleting };
@@ -91,14 +91,14 @@
 
     bool commit_wanted() const;
     bool move_wanted() const;
-    platform::call commit_call(base::time_point now, base::random_source& random);
-    platform::call move_call();
-    platform::call delete_call();
-    void commit_answered(const platform::answer& given, base::time_point now, base::random_source& random);
-    void settle_answered(const platform::answer& given, base::time_point now, base::random_source& random);
-    void head_read(const platform::object& head, base::time_point now, base::random_source& random);
-    void move_answered(const platform::answer& given, base::time_point now, base::random_source& random);
-    void delete_answered(const platform::answer& given, base::time_point now, base::random_source& random);
+    object_api::call commit_call(base::time_point now, base::random_source& random);
+    object_api::call move_call();
+    object_api::call delete_call();
+    void commit_answered(const object_api::answer& given, base::time_point now, base::random_source& random);
+    void settle_answered(const object_api::answer& given, base::time_point now, base::random_source& random);
+    void head_read(const object_api::object& head, base::time_point now, base::random_source& random);
+    void move_answered(const object_api::answer& given, base::time_point now, base::random_source& random);
+    void delete_answered(const object_api::answer& given, base::time_point now, base::random_source& random);
     void confirm(const attempt& in_force, std::uint64_t version);
     void call_failed(base::time_point now, base::random_source& random);
     void finish_move(std::uint64_t version);
--- a/packages/ledger/src/internal/record.cpp
+++ b/packages/ledger/src/internal/record.cpp
@@ -81,11 +81,11 @@
 
 } // namespace
 
-platform::object_key head_key(const base::incarnation& ledger) {
+object_api::object_key head_key(const base::incarnation& ledger) {
     return {"ledgers", ledger.text()};
 }
 
-platform::object_key segment_key(const base::incarnation& ledger, std::uint64_t number) {
+object_api::object_key segment_key(const base::incarnation& ledger, std::uint64_t number) {
     return {"ledger_segments", ledger.text() + '-' + std::to_string(number)};
 }
 
--- a/packages/ledger/src/internal/record.hpp
+++ b/packages/ledger/src/internal/record.hpp
@@ -4,7 +4,7 @@
 #include <rattanbay/base/hash.hpp>
 #include <rattanbay/base/incarnation.hpp>
 #include <rattanbay/ledger/reply.hpp>
-#include <rattanbay/platform/call.hpp>
+#include <rattanbay/object_api/call.hpp>
 
 #include <cstdint>
 #include <optional>
@@ -51,10 +51,10 @@
 };
 
 /// Name of the head object.
-platform::object_key head_key(const base::incarnation& ledger);
+object_api::object_key head_key(const base::incarnation& ledger);
 
 /// Name of a segment object.
-platform::object_key segment_key(const base::incarnation& ledger, std::uint64_t number);
+object_api::object_key segment_key(const base::incarnation& ledger, std::uint64_t number);
 
 /// Identity of (account, key) in a record.
 base::hash128 key_hash(const keyed_request& request);
--- a/packages/ledger/src/internal/seal_job.cpp
+++ b/packages/ledger/src/internal/seal_job.cpp
@@ -17,27 +17,27 @@
     , window_(window)
     , parallel_reads_(parallel_reads) {}
 
-std::optional<platform::call> seal_job::next_call() {
+std::optional<object_api::call> seal_job::next_call() {
     if (phase_ == phase::collecting) {
         if (segments_.empty() || in_flight_ >= parallel_reads_) {
             return std::nullopt;
         }
         ++in_flight_;
-        const platform::object_key key = segments_.front();
+        const object_api::object_key key = segments_.front();
         segments_.pop_front();
-        return platform::read_object{key};
+        return object_api::read_object{key};
     }
     if (in_flight_ > 0) {
         return std::nullopt;
     }
     ++in_flight_;
     if (phase_ == phase::reading) {
-        return platform::read_object{head_key(ledger_)};
+        return object_api::read_object{head_key(ledger_)};
     }
-    return platform::write_object{head_key(ledger_), version_, sealed_text_};
+    return object_api::write_object{head_key(ledger_), version_, sealed_text_};
 }
 
-seal_progress seal_job::answered(const platform::call& asked, const platform::answer& given) {
+seal_progress seal_job::answered(const object_api::call& asked, const object_api::answer& given) {
     assert(in_flight_ > 0);
     --in_flight_;
     switch (phase_) {
@@ -51,11 +51,11 @@
     return segment_answered(asked, given);
 }
 
-seal_progress seal_job::head_answered(const platform::answer& given) {
-    if (std::holds_alternative<platform::absent>(given)) {
+seal_progress seal_job::head_answered(const object_api::answer& given) {
+    if (std::holds_alternative<object_api::absent>(given)) {
         return seal_progress::unusable;
     }
-    const platform::object* head = std::get_if<platform::object>(&given);
+    const object_api::object* head = std::get_if<object_api::object>(&given);
     if (head == nullptr) {
         return seal_progress::held_up;
     }
@@ -73,8 +73,8 @@
     return seal_progress::going_on;
 }
 
-seal_progress seal_job::seal_answered(const platform::answer& given) {
-    if (std::holds_alternative<platform::written>(given)) {
+seal_progress seal_job::seal_answered(const object_api::answer& given) {
+    if (std::holds_alternative<object_api::written>(given)) {
         const base::result<record> written = decode_head(sealed_text_);
         return written ? head_sealed(*written) : seal_progress::unusable;
     }
@@ -101,12 +101,12 @@
     return segments_.empty() ? seal_progress::sealed : seal_progress::going_on;
 }
 
-seal_progress seal_job::segment_answered(const platform::call& asked, const platform::answer& given) {
-    const platform::object_key& key = std::get<platform::read_object>(asked).key;
-    if (std::holds_alternative<platform::absent>(given)) {
+seal_progress seal_job::segment_answered(const object_api::call& asked, const object_api::answer& given) {
+    const object_api::object_key& key = std::get<object_api::read_object>(asked).key;
+    if (std::holds_alternative<object_api::absent>(given)) {
         return seal_progress::unusable;
     }
-    const platform::object* segment = std::get_if<platform::object>(&given);
+    const object_api::object* segment = std::get_if<object_api::object>(&given);
     if (segment == nullptr) {
         segments_.push_back(key);
         return seal_progress::held_up;
--- a/packages/ledger/src/internal/seal_job.hpp
+++ b/packages/ledger/src/internal/seal_job.hpp
@@ -4,8 +4,8 @@
 
 #include <rattanbay/base/incarnation.hpp>
 #include <rattanbay/ledger/reply.hpp>
-#include <rattanbay/platform/answer.hpp>
-#include <rattanbay/platform/call.hpp>
+#include <rattanbay/object_api/answer.hpp>
+#include <rattanbay/object_api/call.hpp>
 
 #include <cstddef>
 #include <cstdint>
@@ -39,18 +39,18 @@
     bool is_sealed() const { return phase_ == phase::collecting; }
 
     /// The next call that can be made besides those in flight, if any.
-    std::optional<platform::call> next_call();
+    std::optional<object_api::call> next_call();
 
     /// Takes the answer to `asked`, which `next_call` gave.
-    seal_progress answered(const platform::call& asked, const platform::answer& given);
+    seal_progress answered(const object_api::call& asked, const object_api::answer& given);
 
     /// The sealed record, once `answered` said that it is sealed.
     sealed_record take_record();
 
 private:
-    seal_progress head_answered(const platform::answer& given);
-    seal_progress seal_answered(const platform::answer& given);
-    seal_progress segment_answered(const platform::call& asked, const platform::answer& given);
+    seal_progress head_answered(const object_api::answer& given);
+    seal_progress seal_answered(const object_api::answer& given);
+    seal_progress segment_answered(const object_api::call& asked, const object_api::answer& given);
     seal_progress head_sealed(const record& head);
 
     enum class phase { reading, sealing, collecting };
@@ -63,7 +63,7 @@
     /// The head that was read, as it will be with `sealed` set, and the version it had.
     std::string sealed_text_;
     std::uint64_t version_ = 0;
-    std::deque<platform::object_key> segments_;
+    std::deque<object_api::object_key> segments_;
     std::optional<sealed_record> record_;
 };
 
--- a/packages/ledger/src/owner.cpp
+++ b/packages/ledger/src/owner.cpp
@@ -345,7 +345,7 @@
         if (call_) {
             return;
         }
-        if (std::optional<platform::call> call = committer_.next_call(now_, random_)) {
+        if (std::optional<object_api::call> call = committer_.next_call(now_, random_)) {
             call_ = next_call_++;
             actions_.emplace_back(make_call{*call_, std::move(*call)});
         }
--- a/packages/ledger/src/successor.cpp
+++ b/packages/ledger/src/successor.cpp
@@ -61,7 +61,7 @@
 
     struct call_in_flight {
         record_part part;
-        platform::call asked;
+        object_api::call asked;
     };
 
     void on(const owner_lost& event) {
@@ -177,7 +177,7 @@
             if (job.next_try > now_) {
                 continue;
             }
-            while (std::optional<platform::call> call = job.seal.next_call()) {
+            while (std::optional<object_api::call> call = job.seal.next_call()) {
                 calls_.emplace(next_call_, call_in_flight{part, *call});
                 actions_.emplace_back(make_call{next_call_, std::move(*call)});
                 ++next_call_;
--- a/packages/ledger/test/fake_platform.hpp
+++ b/packages/ledger/test/fake_platform.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <rattanbay/base.hpp>
-#include <rattanbay/platform.hpp>
+#include <rattanbay/object_api.hpp>
 
 #include <algorithm>
 #include <cstddef>
@@ -18,18 +18,18 @@
 public:
     /// Lets a call take effect. With `old_copy` a read gives an earlier version of the object;
     /// conditions are always checked against the real one.
-    platform::answer apply(const platform::call& call, std::optional<std::uint64_t> old_copy) {
-        if (const auto* write = std::get_if<platform::write_object>(&call)) {
+    object_api::answer apply(const object_api::call& call, std::optional<std::uint64_t> old_copy) {
+        if (const auto* write = std::get_if<object_api::write_object>(&call)) {
             return apply_write(*write);
         }
-        if (const auto* removal = std::get_if<platform::delete_object>(&call)) {
+        if (const auto* removal = std::get_if<object_api::delete_object>(&call)) {
             return apply_delete(*removal);
         }
-        return apply_read(std::get<platform::read_object>(call), old_copy);
+        return apply_read(std::get<object_api::read_object>(call), old_copy);
     }
 
     /// The present value of an object, or null.
-    const platform::object* find(const platform::object_key& key) const {
+    const object_api::object* find(const object_api::object_key& key) const {
         const auto it = objects_.find(key);
         return it == objects_.end() ? nullptr : &it->second.back();
     }
@@ -55,16 +55,16 @@
     }
 
 private:
-    platform::answer apply_write(const platform::write_object& write) {
+    object_api::answer apply_write(const object_api::write_object& write) {
         const auto it = objects_.find(write.key);
         if (it == objects_.end()) {
             if (write.expected_version) {
-                return platform::absent{};
+                return object_api::absent{};
             }
         } else if (write.expected_version != it->second.back().version) {
-            return platform::conflict{it->second.back().version};
+            return object_api::conflict{it->second.back().version};
         }
-        std::vector<platform::object>& versions = objects_[write.key];
+        std::vector<object_api::object>& versions = objects_[write.key];
         versions.push_back({++version_, write.value});
         constexpr std::size_t kept_versions = 4;
         if (versions.size() > kept_versions) {
@@ -75,27 +75,27 @@
         segments_ += write.key.kind == "ledger_segments" ? 1 : 0;
         written_bytes_ += write.value.size();
         largest_value_ = std::max(largest_value_, write.value.size());
-        return platform::written{version_};
+        return object_api::written{version_};
     }
 
-    platform::answer apply_delete(const platform::delete_object& removal) {
+    object_api::answer apply_delete(const object_api::delete_object& removal) {
         const auto it = objects_.find(removal.key);
         if (it == objects_.end()) {
-            return platform::absent{};
+            return object_api::absent{};
         }
         if (it->second.back().version != removal.expected_version) {
-            return platform::conflict{it->second.back().version};
+            return object_api::conflict{it->second.back().version};
         }
         objects_.erase(it);
         ++deletions_;
-        return platform::deleted{};
+        return object_api::deleted{};
     }
 
-    platform::answer apply_read(const platform::read_object& read,
+    object_api::answer apply_read(const object_api::read_object& read,
                                 std::optional<std::uint64_t> old_copy) const {
         const auto it = objects_.find(read.key);
         if (it == objects_.end()) {
-            return platform::absent{};
+            return object_api::absent{};
         }
         if (!old_copy) {
             return it->second.back();
@@ -103,12 +103,12 @@
         // The state before the object existed is also an old copy.
         const std::uint64_t chosen = *old_copy % (it->second.size() + 1);
         if (chosen == it->second.size()) {
-            return platform::absent{};
+            return object_api::absent{};
         }
         return it->second[chosen];
     }
 
-    std::map<platform::object_key, std::vector<platform::object>> objects_;
+    std::map<object_api::object_key, std::vector<object_api::object>> objects_;
     std::uint64_t version_ = 0;
     std::uint64_t writes_ = 0;
     std::uint64_t seals_ = 0;
--- a/packages/ledger/test/limits_test.cpp
+++ b/packages/ledger/test/limits_test.cpp
@@ -6,7 +6,7 @@
 
 namespace base = rattanbay::base;
 namespace ledger = rattanbay::ledger;
-namespace platform = rattanbay::platform;
+namespace object_api = rattanbay::object_api;
 namespace test = rattanbay::ledger::test;
 using namespace std::chrono_literals;
 
@@ -122,7 +122,7 @@
     BOOST_TEST(own.platform().count("ledger_segments") < after_a_minute * 3 / 2);
     own.run_for(60s);
     BOOST_TEST(own.platform().count("ledger_segments") == 0U);
-    const platform::object* head =
+    const object_api::object* head =
         own.platform().find(ledger::internal::head_key(own.owner().current_prefix().incarnation));
     const base::result<ledger::internal::record> read = ledger::internal::decode_head(head->value);
     BOOST_TEST(read.value().entries.empty());
@@ -150,7 +150,7 @@
     const std::uint64_t writes = store.writes();
     for (std::size_t n = 0; n < actions.size(); ++n) {
         if (const auto* call = std::get_if<ledger::make_call>(&actions[n])) {
-            const platform::answer given = store.apply(call->request, std::nullopt);
+            const object_api::answer given = store.apply(call->request, std::nullopt);
             for (const ledger::successor_action& it :
                  next.handle(ledger::call_answered{call->call, given}, now)) {
                 actions.push_back(it);
@@ -175,7 +175,7 @@
     for (int failures = 0; failures < 2; ++failures) {
         const auto call = std::get<ledger::make_call>(actions.front()).call;
         actions = next.handle(
-            ledger::call_answered{call, platform::failed{{base::error_code::unavailable, "down"}}}, now);
+            ledger::call_answered{call, object_api::failed{{base::error_code::unavailable, "down"}}}, now);
     }
     BOOST_TEST(actions.empty());
     actions = next.handle(ledger::owner_lost{request_of(lost, 0, 2)}, now);
--- a/packages/ledger/test/single_owner.hpp
+++ b/packages/ledger/test/single_owner.hpp
@@ -112,12 +112,12 @@
     void answer(const make_call& call) {
         ++in_flight_;
         most_in_flight_ = std::max(most_in_flight_, in_flight_);
-        const auto* write = std::get_if<platform::write_object>(&call.request);
+        const auto* write = std::get_if<object_api::write_object>(&call.request);
         if (write != nullptr && write->key.kind == "ledgers") {
             commits_.push_back(now_);
         }
-        const platform::answer given = platform_down_
-                                           ? platform::failed{{base::error_code::unavailable, "down"}}
+        const object_api::answer given = platform_down_
+                                           ? object_api::failed{{base::error_code::unavailable, "down"}}
                                            : platform_.apply(call.request, std::nullopt);
         push(platform_time, call_answered{call.call, given});
     }
--- a/packages/ledger/test/world.cpp
+++ b/packages/ledger/test/world.cpp
@@ -30,38 +30,38 @@
     return problem.retry_key_prefix ? out + ", retry with " + *problem.retry_key_prefix : out;
 }
 
-std::string call_text(const platform::call& call) {
-    if (const auto* read = std::get_if<platform::read_object>(&call)) {
+std::string call_text(const object_api::call& call) {
+    if (const auto* read = std::get_if<object_api::read_object>(&call)) {
         return "read " + read->key.kind + "/" + read->key.name;
     }
-    if (const auto* write = std::get_if<platform::write_object>(&call)) {
+    if (const auto* write = std::get_if<object_api::write_object>(&call)) {
         return "write " + write->key.kind + "/" + write->key.name +
                (write->expected_version ? " if version " + std::to_string(*write->expected_version)
                                         : " if absent") +
                ": " + write->value;
     }
-    const auto& removal = std::get<platform::delete_object>(call);
+    const auto& removal = std::get<object_api::delete_object>(call);
     return "delete " + removal.key.kind + "/" + removal.key.name;
 }
 
-std::string answer_text(const platform::answer& given) {
-    if (const auto* object = std::get_if<platform::object>(&given)) {
+std::string answer_text(const object_api::answer& given) {
+    if (const auto* object = std::get_if<object_api::object>(&given)) {
         return "version " + std::to_string(object->version) + " " + object->value;
     }
-    if (const auto* written = std::get_if<platform::written>(&given)) {
+    if (const auto* written = std::get_if<object_api::written>(&given)) {
         return "written as version " + std::to_string(written->version);
     }
-    if (const auto* conflict = std::get_if<platform::conflict>(&given)) {
+    if (const auto* conflict = std::get_if<object_api::conflict>(&given)) {
         return "conflict with version " + std::to_string(conflict->version);
     }
-    if (std::holds_alternative<platform::absent>(given)) {
+    if (std::holds_alternative<object_api::absent>(given)) {
         return "absent";
     }
-    return std::holds_alternative<platform::deleted>(given) ? "deleted" : "failed";
+    return std::holds_alternative<object_api::deleted>(given) ? "deleted" : "failed";
 }
 
-platform::answer no_answer() {
-    return platform::failed{{base::error_code::timed_out, "no answer"}};
+object_api::answer no_answer() {
+    return object_api::failed{{base::error_code::timed_out, "no answer"}};
 }
 
 ledger::reply problem(base::problem_kind kind, base::outcome outcome, std::string detail) {
@@ -611,7 +611,7 @@
 void world::call_platform(std::size_t n, const make_call& action, bool of_owner) {
     const call_id call = action.call;
     trace(n, (of_owner ? "owner calls " : "successor calls ") + call_text(action.request));
-    const auto answered = [this, n, call, of_owner](const platform::answer& given) {
+    const auto answered = [this, n, call, of_owner](const object_api::answer& given) {
         trace(n, std::string(of_owner ? "owner" : "successor") + " is answered " + answer_text(given));
         if (of_owner) {
             tell_owner(n, call_answered{call, given});
@@ -628,10 +628,10 @@
     ask_platform(n, action.request, answered);
 }
 
-void world::ask_platform(std::size_t n, const platform::call& request,
-                         const std::function<void(const platform::answer&)>& then) {
+void world::ask_platform(std::size_t n, const object_api::call& request,
+                         const std::function<void(const object_api::answer&)>& then) {
     auto is_answered = std::make_shared<bool>(false);
-    const auto answer = [this, n, epoch = vms_[n].epoch, then, is_answered](const platform::answer& given) {
+    const auto answer = [this, n, epoch = vms_[n].epoch, then, is_answered](const object_api::answer& given) {
         if (!std::exchange(*is_answered, true)) {
             input(n, epoch, [then, given] { then(given); });
         }
@@ -649,12 +649,12 @@
     });
 }
 
-void world::answer_of_platform(const platform::call& request,
-                               const std::function<void(const platform::answer&)>& answer) {
+void world::answer_of_platform(const object_api::call& request,
+                               const std::function<void(const object_api::answer&)>& answer) {
     const bool lost = mode_ == platform_mode::losing_answers && (options_.fixed_delays || chance(0.5));
     const bool old = mode_ == platform_mode::old_copies && chance(0.5);
     const bool slow = mode_ == platform_mode::slow && chance(0.5);
-    const platform::answer given =
+    const object_api::answer given =
         platform_.apply(request, old ? std::optional(random_.bits()) : std::nullopt);
     if (!lost) {
         const base::duration longest = slow ? std::chrono::milliseconds(1000) : std::chrono::milliseconds(2);
@@ -720,10 +720,10 @@
 void world::write_and_run(std::size_t n, const keyed_request& request) {
     const std::string name = internal::key_hash(request).text();
     const std::string number = std::to_string(random_.bits());
-    const platform::object_key object{"requests", name};
-    ask_platform(n, platform::write_object{object, std::nullopt, request.body_hash.text() + number},
-                 [this, n, request, object, number](const platform::answer& given) {
-                     if (const auto* written = std::get_if<platform::written>(&given)) {
+    const object_api::object_key object{"requests", name};
+    ask_platform(n, object_api::write_object{object, std::nullopt, request.body_hash.text() + number},
+                 [this, n, request, object, number](const object_api::answer& given) {
+                     if (const auto* written = std::get_if<object_api::written>(&given)) {
                          run_written(n, request, object, written->version);
                      } else {
                          read_written(n, request, object, number);
@@ -731,15 +731,15 @@
                  });
 }
 
-void world::read_written(std::size_t n, const keyed_request& request, const platform::object_key& object,
+void world::read_written(std::size_t n, const keyed_request& request, const object_api::object_key& object,
                          const std::string& number) {
     constexpr base::duration pause = std::chrono::milliseconds(50);
     if (request.deadline <= local(vms_[n])) {
         reply(n, request.waiter, problem(base::problem_kind::deadline_exceeded, base::outcome::unknown, ""));
         return;
     }
-    ask_platform(n, platform::read_object{object}, [=, this](const platform::answer& given) {
-        const auto* found = std::get_if<platform::object>(&given);
+    ask_platform(n, object_api::read_object{object}, [=, this](const object_api::answer& given) {
+        const auto* found = std::get_if<object_api::object>(&given);
         const std::string body = request.body_hash.text();
         if (found == nullptr) {
             after(pause, [=, this, epoch = vms_[n].epoch] {
@@ -760,14 +760,14 @@
     });
 }
 
-void world::run_written(std::size_t n, const keyed_request& request, const platform::object_key& object,
+void world::run_written(std::size_t n, const keyed_request& request, const object_api::object_key& object,
                         std::uint64_t version) {
     const run_id run = vms_[n].next_run++;
     vms_[n].run_ends[run] = [this, n, request, object, version](const ledger::reply& given) {
         if (const answer* whole = std::get_if<answer>(&given)) {
             ask_platform(
-                n, platform::write_object{object, version, request.body_hash.text() + ":" + whole->body},
-                [](const platform::answer&) {});
+                n, object_api::write_object{object, version, request.body_hash.text() + ":" + whole->body},
+                [](const object_api::answer&) {});
         }
         reply(n, request.waiter, given);
     };
--- a/packages/ledger/test/world.hpp
+++ b/packages/ledger/test/world.hpp
@@ -205,16 +205,16 @@
     void perform(std::size_t n, const stopped& action);
     void run_ended_at(std::size_t n, std::uint64_t epoch, run_id run, const ledger::reply& given);
     void call_platform(std::size_t n, const make_call& action, bool of_owner);
-    void ask_platform(std::size_t n, const platform::call& request,
-                      const std::function<void(const platform::answer&)>& then);
-    void answer_of_platform(const platform::call& request,
-                            const std::function<void(const platform::answer&)>& answer);
+    void ask_platform(std::size_t n, const object_api::call& request,
+                      const std::function<void(const object_api::answer&)>& then);
+    void answer_of_platform(const object_api::call& request,
+                            const std::function<void(const object_api::answer&)>& answer);
     void arm(std::size_t n);
 
     void write_and_run(std::size_t n, const keyed_request& request);
-    void read_written(std::size_t n, const keyed_request& request, const platform::object_key& object,
+    void read_written(std::size_t n, const keyed_request& request, const object_api::object_key& object,
                       const std::string& number);
-    void run_written(std::size_t n, const keyed_request& request, const platform::object_key& object,
+    void run_written(std::size_t n, const keyed_request& request, const object_api::object_key& object,
                      std::uint64_t version);
 
     void start(std::size_t n);
--- a/packages/platform/include/rattanbay/platform.hpp
+++ b/packages/object_api/include/rattanbay/object_api.hpp
@@ -8,7 +8,7 @@
 /// - http_mapping.hpp: calls as HTTP requests and answers from HTTP responses
 /// - vm_list.hpp: the list of live and leaving VMs
 
-#include <rattanbay/platform/answer.hpp>
-#include <rattanbay/platform/call.hpp>
-#include <rattanbay/platform/http_mapping.hpp>
-#include <rattanbay/platform/vm_list.hpp>
+#include <rattanbay/object_api/answer.hpp>
+#include <rattanbay/object_api/call.hpp>
+#include <rattanbay/object_api/http_mapping.hpp>
+#include <rattanbay/object_api/vm_list.hpp>
--- a/packages/platform/include/rattanbay/platform/answer.hpp
+++ b/packages/object_api/include/rattanbay/object_api/answer.hpp
@@ -1,14 +1,14 @@
 #pragma once
 
 #include <rattanbay/base/error.hpp>
-#include <rattanbay/platform/vm_list.hpp>
+#include <rattanbay/object_api/vm_list.hpp>
 
 #include <cstdint>
 #include <string>
 #include <variant>
 #include <vector>
 
-namespace rattanbay::platform {
+namespace rattanbay::object_api {
 
 /// An object's version and value.
 struct object {
@@ -53,4 +53,4 @@
 
 using answer = std::variant<object, written, deleted, conflict, absent, unchanged, listing, vm_list, failed>;
 
-} // namespace rattanbay::platform
+} // namespace rattanbay::object_api
--- a/packages/platform/include/rattanbay/platform/call.hpp
+++ b/packages/object_api/include/rattanbay/object_api/call.hpp
@@ -7,7 +7,7 @@
 #include <string>
 #include <variant>
 
-namespace rattanbay::platform {
+namespace rattanbay::object_api {
 
 /// Kind and name of an object.
 struct object_key {
@@ -61,4 +61,4 @@
 
 using call = std::variant<read_object, write_object, delete_object, list_objects, watch_object, watch_vms>;
 
-} // namespace rattanbay::platform
+} // namespace rattanbay::object_api
--- a/packages/platform/include/rattanbay/platform/http_mapping.hpp
+++ b/packages/object_api/include/rattanbay/object_api/http_mapping.hpp
@@ -3,12 +3,12 @@
 #include <rattanbay/base/error.hpp>
 #include <rattanbay/base/time.hpp>
 #include <rattanbay/http/message.hpp>
-#include <rattanbay/platform/answer.hpp>
-#include <rattanbay/platform/call.hpp>
+#include <rattanbay/object_api/answer.hpp>
+#include <rattanbay/object_api/call.hpp>
 
 #include <string_view>
 
-namespace rattanbay::platform {
+namespace rattanbay::object_api {
 
 /// A call as an HTTP request of the platform's protocol.
 struct http_call {
@@ -36,4 +36,4 @@
 /// sha256 of a document covers a string inside the value and is not affected.
 answer to_answer(const call& request, const base::result<http::response>& response);
 
-} // namespace rattanbay::platform
+} // namespace rattanbay::object_api
--- a/packages/platform/include/rattanbay/platform/vm_list.hpp
+++ b/packages/object_api/include/rattanbay/object_api/vm_list.hpp
@@ -7,7 +7,7 @@
 #include <cstdint>
 #include <vector>
 
-namespace rattanbay::platform {
+namespace rattanbay::object_api {
 
 /// State of a VM in the VM list.
 enum class vm_state { live, leaving };
@@ -32,11 +32,11 @@
     friend bool operator==(const vm_list&, const vm_list&) = default;
 };
 
-} // namespace rattanbay::platform
+} // namespace rattanbay::object_api
 
-template <> struct rattanbay::base::enum_names<rattanbay::platform::vm_state> {
-    static constexpr std::array<enum_name<platform::vm_state>, 2> table{{
-        {platform::vm_state::live, "live"},
-        {platform::vm_state::leaving, "leaving"},
+template <> struct rattanbay::base::enum_names<rattanbay::object_api::vm_state> {
+    static constexpr std::array<enum_name<object_api::vm_state>, 2> table{{
+        {object_api::vm_state::live, "live"},
+        {object_api::vm_state::leaving, "leaving"},
     }};
 };
--- a/packages/platform/src/http_mapping.cpp
+++ b/packages/object_api/src/http_mapping.cpp
@@ -1,10 +1,10 @@
-#include <rattanbay/platform/http_mapping.hpp>
+#include <rattanbay/object_api/http_mapping.hpp>
 
 #include <nlohmann/json.hpp>
 
 #include <chrono>
 
-namespace rattanbay::platform {
+namespace rattanbay::object_api {
 
 namespace {
 
@@ -163,4 +163,4 @@
     }
 }
 
-} // namespace rattanbay::platform
+} // namespace rattanbay::object_api
--- a/packages/platform/test/http_mapping_test.cpp
+++ b/packages/object_api/test/http_mapping_test.cpp
@@ -1,4 +1,4 @@
-#include <rattanbay/platform.hpp>
+#include <rattanbay/object_api.hpp>
 
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
@@ -7,29 +7,29 @@
 
 namespace base = rattanbay::base;
 namespace http = rattanbay::http;
-namespace platform = rattanbay::platform;
+namespace object_api = rattanbay::object_api;
 using namespace std::chrono_literals;
 
 namespace {
 
-const platform::object_key key{"documents", "trial"};
-const platform::call read_call = platform::read_object{key};
-const platform::call write_call = platform::write_object{key, 4, R"({"b": 1, "a": 1.0})"};
-const platform::call create_call = platform::write_object{key, std::nullopt, "{}"};
-const platform::call delete_call = platform::delete_object{key, 4};
-const platform::call list_call = platform::list_objects{"documents"};
-const platform::call watch_call = platform::watch_object{key, 4, 2500ms};
-const platform::call vms_call = platform::watch_vms{4, 2500ms};
-const std::vector<platform::call> all_calls{read_call, write_call, create_call, delete_call,
+const object_api::object_key key{"documents", "trial"};
+const object_api::call read_call = object_api::read_object{key};
+const object_api::call write_call = object_api::write_object{key, 4, R"({"b": 1, "a": 1.0})"};
+const object_api::call create_call = object_api::write_object{key, std::nullopt, "{}"};
+const object_api::call delete_call = object_api::delete_object{key, 4};
+const object_api::call list_call = object_api::list_objects{"documents"};
+const object_api::call watch_call = object_api::watch_object{key, 4, 2500ms};
+const object_api::call vms_call = object_api::watch_vms{4, 2500ms};
+const std::vector<object_api::call> all_calls{read_call, write_call, create_call, delete_call,
                                             list_call, watch_call, vms_call};
 
-platform::answer answer_to(const platform::call& call, int status, const std::string& body) {
-    return platform::to_answer(call, http::json_response(status, body));
+object_api::answer answer_to(const object_api::call& call, int status, const std::string& body) {
+    return object_api::to_answer(call, http::json_response(status, body));
 }
 
 /// Code of a failed answer; none for other answers.
-std::optional<base::error_code> failure_code(const platform::answer& answer) {
-    const platform::failed* const failure = std::get_if<platform::failed>(&answer);
+std::optional<base::error_code> failure_code(const object_api::answer& answer) {
+    const object_api::failed* const failure = std::get_if<object_api::failed>(&answer);
     return failure == nullptr ? std::nullopt : std::optional(failure->reason.code);
 }
 
@@ -39,8 +39,8 @@
 
 /// Text of a value after it came with a response.
 std::string value_after_read(const std::string& value) {
-    const platform::answer answer = answer_to(read_call, 200, R"({"version": 5, "value": )" + value + "}");
-    const platform::object* const found = std::get_if<platform::object>(&answer);
+    const object_api::answer answer = answer_to(read_call, 200, R"({"version": 5, "value": )" + value + "}");
+    const object_api::object* const found = std::get_if<object_api::object>(&answer);
     return found == nullptr ? "failed" : found->value;
 }
 
@@ -49,8 +49,8 @@
            R"(", "failure_domain": "a", "state": ")" + state + R"("})";
 }
 
-void check_malformed(const platform::call& call, int status, const std::string& body) {
-    BOOST_TEST_CONTEXT(platform::to_http(call).kind << " answered by " << status << " " << body) {
+void check_malformed(const object_api::call& call, int status, const std::string& body) {
+    BOOST_TEST_CONTEXT(object_api::to_http(call).kind << " answered by " << status << " " << body) {
         BOOST_CHECK(failure_code(answer_to(call, status, body)) == base::error_code::protocol_violation);
     }
 }
@@ -61,13 +61,13 @@
 
 // Guards against a read that goes to another path or that is not sent again on a broken idle connection.
 BOOST_AUTO_TEST_CASE(reads_and_listings_are_plain_requests) {
-    const platform::http_call read = platform::to_http(read_call);
+    const object_api::http_call read = object_api::to_http(read_call);
     BOOST_TEST(read.kind == "read");
     BOOST_TEST(line_of(read.message) == "GET /v1/objects/documents/trial");
-    const platform::http_call list = platform::to_http(list_call);
+    const object_api::http_call list = object_api::to_http(list_call);
     BOOST_TEST(list.kind == "list");
     BOOST_TEST(line_of(list.message) == "GET /v1/objects/documents");
-    for (const platform::http_call& sent : {read, list}) {
+    for (const object_api::http_call& sent : {read, list}) {
         BOOST_TEST(sent.repeatable);
         BOOST_CHECK(sent.wait == base::duration::zero());
         BOOST_TEST(sent.message.fields.list().empty());
@@ -77,22 +77,22 @@
 
 // Guards against a write or deletion without its condition, and against one that is sent twice.
 BOOST_AUTO_TEST_CASE(writes_and_deletions_carry_their_condition_and_are_sent_once) {
-    const platform::http_call write = platform::to_http(write_call);
+    const object_api::http_call write = object_api::to_http(write_call);
     BOOST_TEST(write.kind == "write");
     BOOST_TEST(line_of(write.message) == "PUT /v1/objects/documents/trial");
     BOOST_TEST(write.message.fields.find("If-Match").value_or("") == "4");
     BOOST_TEST(!write.message.fields.find("If-None-Match").has_value());
     BOOST_TEST(write.message.fields.find("Content-Type").value_or("") == "application/json");
-    const platform::http_call create = platform::to_http(create_call);
+    const object_api::http_call create = object_api::to_http(create_call);
     BOOST_TEST(create.kind == "write");
     BOOST_TEST(create.message.fields.find("If-None-Match").value_or("") == "*");
     BOOST_TEST(!create.message.fields.find("If-Match").has_value());
-    const platform::http_call deletion = platform::to_http(delete_call);
+    const object_api::http_call deletion = object_api::to_http(delete_call);
     BOOST_TEST(deletion.kind == "delete");
     BOOST_TEST(line_of(deletion.message) == "DELETE /v1/objects/documents/trial");
     BOOST_TEST(deletion.message.fields.find("If-Match").value_or("") == "4");
     BOOST_TEST(deletion.message.body.empty());
-    for (const platform::http_call& sent : {write, create, deletion}) {
+    for (const object_api::http_call& sent : {write, create, deletion}) {
         BOOST_TEST(!sent.repeatable);
         BOOST_CHECK(sent.wait == base::duration::zero());
     }
@@ -100,13 +100,13 @@
 
 // Guards against a watch whose connection is given up before the platform's wait is over.
 BOOST_AUTO_TEST_CASE(watches_tell_their_wait) {
-    const platform::http_call watch = platform::to_http(watch_call);
+    const object_api::http_call watch = object_api::to_http(watch_call);
     BOOST_TEST(watch.kind == "watch");
     BOOST_TEST(line_of(watch.message) == "GET /v1/watch/documents/trial?after=4&wait_ms=2500");
-    const platform::http_call vms = platform::to_http(vms_call);
+    const object_api::http_call vms = object_api::to_http(vms_call);
     BOOST_TEST(vms.kind == "watch_vms");
     BOOST_TEST(line_of(vms.message) == "GET /v1/vms?after=4&wait_ms=2500");
-    for (const platform::http_call& sent : {watch, vms}) {
+    for (const object_api::http_call& sent : {watch, vms}) {
         BOOST_TEST(sent.repeatable);
         BOOST_CHECK(sent.wait == base::duration(2500ms));
     }
@@ -115,25 +115,25 @@
 // Guards against an answer of one kind being taken as one of another kind.
 BOOST_AUTO_TEST_CASE(each_call_has_its_answers) {
     const std::string found = R"({"version": 5, "value": {"a": 1}})";
-    for (const platform::call& call : {read_call, watch_call}) {
-        const platform::answer answer = answer_to(call, 200, found);
-        BOOST_TEST(std::get<platform::object>(answer).version == 5U);
-        BOOST_TEST(std::get<platform::object>(answer).value == R"({"a":1})");
+    for (const object_api::call& call : {read_call, watch_call}) {
+        const object_api::answer answer = answer_to(call, 200, found);
+        BOOST_TEST(std::get<object_api::object>(answer).version == 5U);
+        BOOST_TEST(std::get<object_api::object>(answer).value == R"({"a":1})");
     }
-    BOOST_TEST(std::get<platform::written>(answer_to(write_call, 200, R"({"version": 5})")).version == 5U);
-    BOOST_TEST(std::get<platform::written>(answer_to(create_call, 200, R"({"version": 5})")).version == 5U);
-    BOOST_CHECK(std::holds_alternative<platform::deleted>(answer_to(delete_call, 200, "")));
-    BOOST_CHECK(std::holds_alternative<platform::deleted>(answer_to(delete_call, 200, "{}")));
-    for (const platform::call& call : {write_call, create_call, delete_call}) {
-        BOOST_TEST(std::get<platform::conflict>(answer_to(call, 412, R"({"version": 6})")).version == 6U);
-        BOOST_CHECK(std::holds_alternative<platform::absent>(answer_to(call, 404, "")));
+    BOOST_TEST(std::get<object_api::written>(answer_to(write_call, 200, R"({"version": 5})")).version == 5U);
+    BOOST_TEST(std::get<object_api::written>(answer_to(create_call, 200, R"({"version": 5})")).version == 5U);
+    BOOST_CHECK(std::holds_alternative<object_api::deleted>(answer_to(delete_call, 200, "")));
+    BOOST_CHECK(std::holds_alternative<object_api::deleted>(answer_to(delete_call, 200, "{}")));
+    for (const object_api::call& call : {write_call, create_call, delete_call}) {
+        BOOST_TEST(std::get<object_api::conflict>(answer_to(call, 412, R"({"version": 6})")).version == 6U);
+        BOOST_CHECK(std::holds_alternative<object_api::absent>(answer_to(call, 404, "")));
     }
-    BOOST_CHECK(std::holds_alternative<platform::absent>(answer_to(read_call, 404, "{}")));
-    BOOST_CHECK(std::holds_alternative<platform::unchanged>(answer_to(watch_call, 204, "")));
-    BOOST_CHECK(std::holds_alternative<platform::unchanged>(answer_to(vms_call, 204, "")));
-    const platform::answer listed = answer_to(
+    BOOST_CHECK(std::holds_alternative<object_api::absent>(answer_to(read_call, 404, "{}")));
+    BOOST_CHECK(std::holds_alternative<object_api::unchanged>(answer_to(watch_call, 204, "")));
+    BOOST_CHECK(std::holds_alternative<object_api::unchanged>(answer_to(vms_call, 204, "")));
+    const object_api::answer listed = answer_to(
         list_call, 200, R"({"objects": [{"name": "b", "version": 2}, {"name": "a", "version": 1}]})");
-    const std::vector<platform::listing::row>& rows = std::get<platform::listing>(listed).objects;
+    const std::vector<object_api::listing::row>& rows = std::get<object_api::listing>(listed).objects;
     BOOST_REQUIRE(rows.size() == 2U);
     BOOST_TEST(rows[0].name == "b");
     BOOST_TEST(rows[0].version == 2U);
@@ -147,33 +147,33 @@
                              vm_row("v2", "no address", "live") + "," +
                              vm_row("v3", "10.0.0.3:80", "paused") + "," +
                              vm_row("v4", "10.0.0.4:80", "leaving") + "]}";
-    const platform::answer answer = answer_to(vms_call, 200, body);
-    const platform::vm_list expected{
+    const object_api::answer answer = answer_to(vms_call, 200, body);
+    const object_api::vm_list expected{
         7,
         {{base::vm_id("v1"), base::service_name("desk"), *base::address::parse("10.0.0.1:80"),
-          base::failure_domain("a"), platform::vm_state::live},
+          base::failure_domain("a"), object_api::vm_state::live},
          {base::vm_id("v4"), base::service_name("desk"), *base::address::parse("10.0.0.4:80"),
-          base::failure_domain("a"), platform::vm_state::leaving}}};
-    BOOST_REQUIRE(std::holds_alternative<platform::vm_list>(answer));
-    BOOST_CHECK(std::get<platform::vm_list>(answer) == expected);
+          base::failure_domain("a"), object_api::vm_state::leaving}}};
+    BOOST_REQUIRE(std::holds_alternative<object_api::vm_list>(answer));
+    BOOST_CHECK(std::get<object_api::vm_list>(answer) == expected);
 }
 
 // Guards against a status being taken as an answer that the call does not have, such as a write
 // whose effect is unknown as one without effect.
 BOOST_AUTO_TEST_CASE(unexpected_statuses_are_failures) {
     const std::string body = R"({"version": 5, "value": 1, "objects": [], "vms": []})";
-    for (const platform::call& call : all_calls) {
+    for (const object_api::call& call : all_calls) {
         for (const int status : {0, 100, 201, 202, 206, 301, 304, 400, 401, 409, 413, 429, 500, 503}) {
             BOOST_CHECK(failure_code(answer_to(call, status, body)) == base::error_code::unavailable);
         }
     }
-    for (const platform::call& call : {read_call, write_call, create_call, delete_call, list_call}) {
+    for (const object_api::call& call : {read_call, write_call, create_call, delete_call, list_call}) {
         BOOST_CHECK(failure_code(answer_to(call, 204, "")) == base::error_code::unavailable);
     }
-    for (const platform::call& call : {list_call, watch_call, vms_call}) {
+    for (const object_api::call& call : {list_call, watch_call, vms_call}) {
         BOOST_CHECK(failure_code(answer_to(call, 404, body)) == base::error_code::unavailable);
     }
-    for (const platform::call& call : {read_call, list_call, watch_call, vms_call}) {
+    for (const object_api::call& call : {read_call, list_call, watch_call, vms_call}) {
         BOOST_CHECK(failure_code(answer_to(call, 412, body)) == base::error_code::unavailable);
     }
 }
@@ -181,12 +181,12 @@
 // Guards against a lost or refused exchange being told as another failure: callers take a refused
 // connection as proof that a write had no effect.
 BOOST_AUTO_TEST_CASE(errors_of_the_exchange_are_passed_on) {
-    for (const platform::call& call : all_calls) {
+    for (const object_api::call& call : all_calls) {
         for (const base::error_code code : {base::error_code::connection_refused, base::error_code::timed_out,
                                             base::error_code::connection_broken}) {
-            const platform::answer answer = platform::to_answer(call, base::fail(code, "reason"));
-            BOOST_REQUIRE(std::holds_alternative<platform::failed>(answer));
-            BOOST_CHECK((std::get<platform::failed>(answer).reason == base::error{code, "reason"}));
+            const object_api::answer answer = object_api::to_answer(call, base::fail(code, "reason"));
+            BOOST_REQUIRE(std::holds_alternative<object_api::failed>(answer));
+            BOOST_CHECK((std::get<object_api::failed>(answer).reason == base::error{code, "reason"}));
         }
     }
 }
@@ -197,7 +197,7 @@
     const std::string object = R"({"value": {"a": [1, "\u00e9"]}, "version": 15})";
     const std::string list = R"({"objects": [{"name": "a", "version": 15}]})";
     const std::string vms = R"({"version": 15, "vms": [)" + vm_row("v1", "10.0.0.1:80", "live") + "]}";
-    const std::vector<std::pair<platform::call, std::string>> answers{
+    const std::vector<std::pair<object_api::call, std::string>> answers{
         {read_call, object}, {write_call, version}, {create_call, version},
         {list_call, list},   {watch_call, object},  {vms_call, vms}};
     for (const auto& [call, body] : answers) {
@@ -221,7 +221,7 @@
     for (const std::string version :
          {"-1", "1.5", "\"5\"", "true", "null", "[]", "{}", "18446744073709551616"}) {
         const std::string body = R"({"version": )" + version + R"(, "value": 1, "vms": []})";
-        for (const platform::call& call : {read_call, write_call, create_call, watch_call, vms_call}) {
+        for (const object_api::call& call : {read_call, write_call, create_call, watch_call, vms_call}) {
             check_malformed(call, 200, body);
         }
         check_malformed(write_call, 412, body);
@@ -230,7 +230,7 @@
     }
     for (const std::string body : {"{}", "[]", "null", "5", "\"text\"", "{\"version\": 5} {}", "<html>",
                                    "{\"version\": 5, \"value\": \"\xff\"}"}) {
-        for (const platform::call& call : {read_call, list_call, watch_call, vms_call}) {
+        for (const object_api::call& call : {read_call, list_call, watch_call, vms_call}) {
             check_malformed(call, 200, body);
         }
     }
@@ -245,7 +245,7 @@
 // Guards against a value whose meaning changes on its way; the doc comment of to_answer states
 // what is preserved.
 BOOST_AUTO_TEST_CASE(values_survive) {
-    BOOST_TEST(platform::to_http(write_call).message.body == R"({"b": 1, "a": 1.0})");
+    BOOST_TEST(object_api::to_http(write_call).message.body == R"({"b": 1, "a": 1.0})");
     BOOST_TEST(value_after_read(R"({"b": 1, "a": 1.0})") == R"({"a":1.0,"b":1})");
     for (const std::string same :
          {"null", "true", "0", "18446744073709551615", "-9223372036854775808", "0.1", "-0.0",
--- a/packages/peer/include/rattanbay/peer/frame.hpp
+++ b/packages/peer/include/rattanbay/peer/frame.hpp
@@ -5,7 +5,7 @@
 #include <rattanbay/base/incarnation.hpp>
 #include <rattanbay/ledger/reply.hpp>
 #include <rattanbay/peer/member_record.hpp>
-#include <rattanbay/platform/vm_list.hpp>
+#include <rattanbay/object_api/vm_list.hpp>
 
 #include <cstdint>
 #include <string>
@@ -24,7 +24,7 @@
 struct state_reply {
     /// Text of the document in force, empty when the sender's is not older.
     std::string document;
-    platform::vm_list vms;
+    object_api::vm_list vms;
     std::vector<member_record> members;
 };
 
--- a/packages/peer/src/internal/wire.hpp
+++ b/packages/peer/src/internal/wire.hpp
@@ -138,21 +138,21 @@
         }
     };
 
-    template <> struct pack<rattanbay::platform::vm> {
+    template <> struct pack<rattanbay::object_api::vm> {
         template <class Stream>
-        packer<Stream>& operator()(packer<Stream>& out, const rattanbay::platform::vm& value) const {
-            const bool leaving = value.state == rattanbay::platform::vm_state::leaving;
+        packer<Stream>& operator()(packer<Stream>& out, const rattanbay::object_api::vm& value) const {
+            const bool leaving = value.state == rattanbay::object_api::vm_state::leaving;
             wire::pack_all(out, value.id, value.service, value.address, value.failure_domain, leaving);
             return out;
         }
     };
 
-    template <> struct convert<rattanbay::platform::vm> {
-        const msgpack::object& operator()(const msgpack::object& from, rattanbay::platform::vm& value) const {
+    template <> struct convert<rattanbay::object_api::vm> {
+        const msgpack::object& operator()(const msgpack::object& from, rattanbay::object_api::vm& value) const {
             bool leaving = false;
             wire::read_all(from, value.id, value.service, value.address, value.failure_domain, leaving);
             value.state =
-                leaving ? rattanbay::platform::vm_state::leaving : rattanbay::platform::vm_state::live;
+                leaving ? rattanbay::object_api::vm_state::leaving : rattanbay::object_api::vm_state::live;
             return from;
         }
     };
--- a/packages/peer/test/codec_test.cpp
+++ b/packages/peer/test/codec_test.cpp
@@ -5,7 +5,7 @@
 namespace base = rattanbay::base;
 namespace ledger = rattanbay::ledger;
 namespace peer = rattanbay::peer;
-namespace platform = rattanbay::platform;
+namespace object_api = rattanbay::object_api;
 
 namespace {
 
@@ -56,11 +56,11 @@
 
     const peer::state_reply state{"{}",
                                   {3,
-                                   {platform::vm{base::vm_id("e"),
+                                   {object_api::vm{base::vm_id("e"),
                                                  base::service_name("s"),
                                                  {{127, 0, 0, 1}, 80},
                                                  base::failure_domain("b"),
-                                                 platform::vm_state::leaving}}},
+                                                 object_api::vm_state::leaving}}},
                                   {sample_record(4)}};
     const base::result<peer::frame> copy =
         peer::decode_frame(peer::encode(peer::frame(state), secret).substr(4), secret);
--- a/packages/routing/benchmark/choose_benchmark.cpp
+++ b/packages/routing/benchmark/choose_benchmark.cpp
@@ -25,7 +25,7 @@
     document.services[service].name = service;
     document.services[service].expected = std::chrono::milliseconds(20);
     document.services[service].concurrency = 8;
-    rattanbay::platform::vm_list list;
+    rattanbay::object_api::vm_list list;
     for (std::size_t n = 0; n < endpoints; ++n) {
         const base::failure_domain domain(std::string(1, static_cast<char>('a' + n % domains)));
         const auto port = static_cast<std::uint16_t>(1 + n);
--- a/packages/routing/experiment/endpoint_model.cpp
+++ b/packages/routing/experiment/endpoint_model.cpp
@@ -15,7 +15,7 @@
 
 } // namespace
 
-endpoint_model::endpoint_model(event_queue& events, platform::vm listed_vm, service_plan service)
+endpoint_model::endpoint_model(event_queue& events, object_api::vm listed_vm, service_plan service)
     : listed(std::move(listed_vm))
     , plan(std::move(service))
     , events_(events) {}
--- a/packages/routing/experiment/endpoint_model.hpp
+++ b/packages/routing/experiment/endpoint_model.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <rattanbay/pipeline/action.hpp>
-#include <rattanbay/platform/vm_list.hpp>
+#include <rattanbay/object_api/vm_list.hpp>
 
 #include <event_queue.hpp>
 #include <installation.hpp>
@@ -36,7 +36,7 @@
 public:
     using answer_function = std::function<void(const call_pointer&, pipeline::attempt_result)>;
 
-    endpoint_model(event_queue& events, platform::vm listed, service_plan plan);
+    endpoint_model(event_queue& events, object_api::vm listed, service_plan plan);
 
     /// A call arrives; `answer` is called when its answer leaves, which may be never.
     void arrive(const call_pointer& arrived, answer_function answer);
@@ -58,7 +58,7 @@
 
     std::uint64_t prefix_hits() const { return prefix_hits_; }
 
-    const platform::vm listed;
+    const object_api::vm listed;
     const service_plan plan;
     double slowness = 1;
     bool refusing = false;
--- a/packages/routing/experiment/installation.cpp
+++ b/packages/routing/experiment/installation.cpp
@@ -68,8 +68,8 @@
     return document;
 }
 
-platform::vm_list make_vm_list(const installation& site) {
-    platform::vm_list list;
+object_api::vm_list make_vm_list(const installation& site) {
+    object_api::vm_list list;
     list.version = 1;
     // The count goes on from service to service, so that small services do not all lack the same
     // failure domains.
@@ -82,7 +82,7 @@
                                 base::service_name(plan.name),
                                 {{127, 0, 0, 1}, port},
                                 domain(next % site.domains),
-                                platform::vm_state::live});
+                                object_api::vm_state::live});
         }
     }
     return list;
--- a/packages/routing/experiment/installation.hpp
+++ b/packages/routing/experiment/installation.hpp
@@ -2,7 +2,7 @@
 
 #include <rattanbay/base/time.hpp>
 #include <rattanbay/config/environment_document.hpp>
-#include <rattanbay/platform/vm_list.hpp>
+#include <rattanbay/object_api/vm_list.hpp>
 
 #include <cstddef>
 #include <string>
@@ -45,6 +45,6 @@
 config::environment_document make_document(const installation& site, double cost_weight);
 
 /// VM list with the endpoints of all services, spread evenly over the failure domains.
-platform::vm_list make_vm_list(const installation& site);
+object_api::vm_list make_vm_list(const installation& site);
 
 } // namespace rattanbay::routing::experiment
--- a/packages/routing/experiment/simulation.cpp
+++ b/packages/routing/experiment/simulation.cpp
@@ -59,7 +59,7 @@
 }
 
 void simulation::set_up() {
-    for (const platform::vm& listed : vm_list_.vms) {
+    for (const object_api::vm& listed : vm_list_.vms) {
         const auto plan =
             std::find_if(options_.site.services.begin(), options_.site.services.end(),
                          [&](const service_plan& one) { return one.name == listed.service.text(); });
@@ -138,8 +138,8 @@
 }
 
 void simulation::publish() {
-    platform::vm_list list = vm_list_;
-    std::erase_if(list.vms, [this](const platform::vm& one) {
+    object_api::vm_list list = vm_list_;
+    std::erase_if(list.vms, [this](const object_api::vm& one) {
         return !listed_[endpoint_numbers_.at(base::endpoint_id(one.id.text()))];
     });
     const routing::endpoint_table table(list, document_);
--- a/packages/routing/experiment/simulation.hpp
+++ b/packages/routing/experiment/simulation.hpp
@@ -107,7 +107,7 @@
     run_options options_;
     event_queue events_;
     config::environment_document document_;
-    platform::vm_list vm_list_;
+    object_api::vm_list vm_list_;
     std::vector<std::unique_ptr<endpoint_model>> endpoints_;
     std::unordered_map<base::endpoint_id, std::size_t> endpoint_numbers_;
     /// Endpoints that the VM list names live.
--- a/packages/routing/include/rattanbay/routing/endpoint_table.hpp
+++ b/packages/routing/include/rattanbay/routing/endpoint_table.hpp
@@ -3,7 +3,7 @@
 #include <rattanbay/base/address.hpp>
 #include <rattanbay/base/identifier.hpp>
 #include <rattanbay/config/environment_document.hpp>
-#include <rattanbay/platform/vm_list.hpp>
+#include <rattanbay/object_api/vm_list.hpp>
 
 #include <map>
 #include <vector>
@@ -15,7 +15,7 @@
     base::endpoint_id id;
     base::address address;
     base::failure_domain failure_domain;
-    platform::vm_state state = platform::vm_state::live;
+    object_api::vm_state state = object_api::vm_state::live;
 };
 
 /// A service with its endpoints.
@@ -32,7 +32,7 @@
 
     /// Takes the services from `document` and their endpoints from `vms`. VMs of services that the
     /// document lacks are left out, as are entries that repeat an earlier entry's identifier.
-    endpoint_table(const platform::vm_list& vms, const config::environment_document& document);
+    endpoint_table(const object_api::vm_list& vms, const config::environment_document& document);
 
     /// All services, those without endpoints included.
     const std::map<base::service_name, service_endpoints>& services() const { return services_; }
--- a/packages/routing/src/endpoint_table.cpp
+++ b/packages/routing/src/endpoint_table.cpp
@@ -4,13 +4,13 @@
 
 namespace rattanbay::routing {
 
-endpoint_table::endpoint_table(const platform::vm_list& vms, const config::environment_document& document)
+endpoint_table::endpoint_table(const object_api::vm_list& vms, const config::environment_document& document)
     : cost_weight_(document.cost_weight) {
     for (const auto& [name, settings] : document.services) {
         services_.emplace(name, service_endpoints{settings, {}});
     }
     std::unordered_set<base::vm_id> seen;
-    for (const platform::vm& listed : vms.vms) {
+    for (const object_api::vm& listed : vms.vms) {
         const auto it = services_.find(listed.service);
         if (it == services_.end() || !seen.insert(listed.id).second) {
             continue;
--- a/packages/routing/src/internal/selection.cpp
+++ b/packages/routing/src/internal/selection.cpp
@@ -74,7 +74,7 @@
 }
 
 selection::eligibility selection::eligibility_of(const entry& candidate) const {
-    if (candidate.listed.state == platform::vm_state::leaving ||
+    if (candidate.listed.state == object_api::vm_state::leaving ||
         candidate.state->leaving.load(std::memory_order_relaxed)) {
         return eligibility::unavailable;
     }
--- a/packages/routing/src/internal/view.cpp
+++ b/packages/routing/src/internal/view.cpp
@@ -21,7 +21,7 @@
 /// Whether what was measured of the endpoint is still about the same process.
 bool same_endpoint(const endpoint& before, const endpoint& after) {
     const bool returned =
-        before.state == platform::vm_state::leaving && after.state == platform::vm_state::live;
+        before.state == object_api::vm_state::leaving && after.state == object_api::vm_state::live;
     return before.address == after.address && before.failure_domain == after.failure_domain && !returned;
 }
 
--- a/packages/routing/test/ejection_test.cpp
+++ b/packages/routing/test/ejection_test.cpp
@@ -129,11 +129,11 @@
     for (int n = 0; n < 20; ++n) {
         BOOST_TEST(choose(routes, start + std::chrono::hours(n), random)->endpoint == id("a1"));
     }
-    listed.vms.vms[1].state = platform::vm_state::leaving;
+    listed.vms.vms[1].state = object_api::vm_state::leaving;
     routes.publish(listed.table());
     BOOST_TEST(!choose(routes, start, random).has_value());
     // Named live again, a1 is a new process; a0 still has to say that it stays.
-    listed.vms.vms[1].state = platform::vm_state::live;
+    listed.vms.vms[1].state = object_api::vm_state::live;
     routes.publish(listed.table());
     BOOST_TEST(choose(routes, start, random)->endpoint == id("a1"));
     routes.endpoint_staying(id("a0"));
--- a/packages/routing/test/fixture.hpp
+++ b/packages/routing/test/fixture.hpp
@@ -37,7 +37,7 @@
 
     endpoint_table table() const { return endpoint_table(vms, document); }
 
-    platform::vm_list vms;
+    object_api::vm_list vms;
     config::environment_document document;
 };
 
--- a/packages/routing/test/threads_test.cpp
+++ b/packages/routing/test/threads_test.cpp
@@ -45,7 +45,7 @@
     publisher.join();
     BOOST_TEST(routes.ejected(writer) <= 3U);
     // Idle again, with past failures and times forgotten, every endpoint is expected to take 20 ms.
-    for (platform::vm& replaced : listed.vms.vms) {
+    for (object_api::vm& replaced : listed.vms.vms) {
         replaced.address.ip = {127, 0, 0, 2};
     }
     routes.publish(listed.table());
