--- a/packages/daemon/src/control.cpp
+++ b/packages/daemon/src/control.cpp
@@ -93,6 +93,10 @@
         shared, strand, platform_, *transport_,
         [this](const std::vector<peer::member_record>& members) { members_->learn(members); },
         [this](std::uint64_t revision) { take_revision(revision); });
+    if (shared_.relay) {
+        piece_pool_ = std::make_shared<piece_pool>(*shared_.relay, strand_);
+        piece_router_ = std::make_shared<piece_router>(shared_, *piece_pool_, *transport_, strand_);
+    }
     ledger_ = std::make_shared<ledger_keeper>(
         shared, strand, platform_, *transport_, [this](const ledger::key_prefix& prefix) {
             members_->update_self([&prefix](peer::member_record& self) {
@@ -155,6 +159,17 @@
     if (const peer::state_request* request = std::get_if<peer::state_request>(&message)) {
         co_return state_->state_for(*request, members_->members());
     }
+    if (peer::make_pieces* pieces = std::get_if<peer::make_pieces>(&message)) {
+        if (piece_router_) {
+            co_return co_await piece_router_->answer(std::move(*pieces));
+        }
+    }
+    if (const peer::release_pieces* released = std::get_if<peer::release_pieces>(&message)) {
+        if (piece_router_) {
+            piece_router_->take_release(*released);
+        }
+        co_return peer::frame(peer::accepted{});
+    }
     if (peer::forward_request* request = std::get_if<peer::forward_request>(&message)) {
         co_return co_await answer_forward(std::move(*request));
     }
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -172,8 +172,7 @@
     }
 
     base::result<void> listen_for_relay() {
-        pieces_ = std::make_shared<internal::piece_pool>(context_, *shared_.relay);
-        relays_ = std::make_unique<internal::relay_handler>(shared_, pieces_);
+        relays_ = std::make_unique<internal::relay_handler>(shared_, control_->pieces());
         shared_.relay->on_limits = [this](const config::client_limits& limits) {
             caller_server_->set_limits(limits_of(limits));
         };
@@ -236,7 +235,6 @@
     asio::signal_set signals_;
     std::shared_ptr<http::server> caller_server_;
     std::shared_ptr<http::server> operator_server_;
-    std::shared_ptr<internal::piece_pool> pieces_;
     std::unique_ptr<internal::relay_handler> relays_;
     std::shared_ptr<http::server> entries_server_;
     std::shared_ptr<http::server> readiness_server_;
--- a/packages/daemon/src/input_stages.cpp
+++ b/packages/daemon/src/input_stages.cpp
@@ -10,20 +10,43 @@
 
 namespace rattanbay::daemon::internal {
 
-input_stages::input_stages(piece_pool& pool, asio::any_io_executor executor, const relay::call& request,
-                           const config::relay_route& route, base::time_point due,
-                           base::time_point deadline)
-    : pool_(pool)
+namespace {
+
+/// Usual time between daemons, and of the wait for a call, for each stage.
+constexpr std::chrono::milliseconds usual_overhead{30};
+
+} // namespace
+
+input_stages::input_stages(std::shared_ptr<piece_router> pieces, asio::any_io_executor executor,
+                           stage_plan plan)
+    : router_(std::move(pieces))
     , executor_(executor)
-    , request_(request)
-    , route_(route)
-    , due_(due)
-    , deadline_(deadline)
+    , plan_(std::move(plan))
     , progress_(executor)
-    , stages_(route.stages.size()) {
+    , stages_(plan_.route->stages.size()) {
+    const std::vector<std::size_t>& counts = plan_.request->stage_pieces;
     for (std::size_t n = 0; n < stages_.size(); ++n) {
-        stages_[n].pieces = n < request.stage_pieces.size() ? request.stage_pieces[n] : 0;
-        stages_[n].handles.resize(stages_[n].pieces);
+        stages_[n].pieces = n < counts.size() ? counts[n] : 0;
+        stages_[n].made = stages_[n].pieces == 0;
+    }
+    estimate_times();
+}
+
+void input_stages::estimate_times() {
+    for (std::size_t n = stages_.size(); n > 0; --n) {
+        stage_state& state = stages_[n - 1];
+        const config::relay_service* const service =
+            plan_.serving->find(plan_.route->stages[n - 1].service);
+        if (state.pieces > 0 && service != nullptr && service->pieces) {
+            const std::size_t together = std::min(state.pieces, service->pieces->batch);
+            state.own = service->pieces->call_time +
+                        service->pieces->piece_time * static_cast<std::int64_t>(together) + usual_overhead;
+        }
+        for (std::size_t other = n; other < stages_.size(); ++other) {
+            if (is_needed_by(n - 1, other)) {
+                state.rest = std::max(state.rest, stages_[other].own + stages_[other].rest);
+            }
+        }
     }
 }
 
@@ -31,11 +54,11 @@
     const std::shared_ptr<input_stages> self = shared_from_this();
     begin_ready_stages();
     while (!is_whole() && !failure_ && !stopped_) {
-        if (now() >= deadline_) {
+        if (now() >= plan_.latest) {
             failure_ = relay::piece_failure::late;
             break;
         }
-        progress_.expires_at(to_steady(deadline_));
+        progress_.expires_at(to_steady(plan_.latest));
         boost::system::error_code ignored;
         co_await progress_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
@@ -47,74 +70,100 @@
     progress_.cancel();
 }
 
-bool input_stages::is_ready(std::size_t stage) const {
-    return std::ranges::all_of(route_.stages[stage].after, [this](std::size_t needed) {
-        return stages_[needed].made == stages_[needed].pieces;
-    });
+bool input_stages::is_needed_by(std::size_t stage, std::size_t other) const {
+    const std::vector<std::size_t>& after = plan_.route->stages[other].after;
+    return std::ranges::find(after, stage) != after.end();
+}
+
+bool input_stages::is_needed(std::size_t stage) const {
+    for (std::size_t other = 0; other < stages_.size(); ++other) {
+        if (is_needed_by(stage, other)) {
+            return true;
+        }
+    }
+    return false;
 }
 
 bool input_stages::is_whole() const {
-    return std::ranges::all_of(stages_, [](const stage_state& row) { return row.made == row.pieces; });
+    return std::ranges::all_of(stages_, [](const stage_state& row) { return row.made; });
 }
 
 void input_stages::begin_ready_stages() {
     for (std::size_t n = 0; n < stages_.size(); ++n) {
-        if (!stages_[n].begun && is_ready(n)) {
+        const std::vector<std::size_t>& after = plan_.route->stages[n].after;
+        const bool ready =
+            std::ranges::all_of(after, [this](std::size_t needed) { return stages_[needed].made; });
+        if (!stages_[n].begun && !stages_[n].made && ready) {
             begin(n);
         }
     }
 }
 
 void input_stages::begin(std::size_t stage) {
+    const config::relay_stage& settings = plan_.route->stages[stage];
     stage_state& state = stages_[stage];
     state.begun = true;
-    relay::piece_order order;
-    order.call = request_.id;
-    order.stage = stage;
-    for (const std::size_t needed : route_.stages[stage].after) {
-        order.inputs.insert(order.inputs.end(), stages_[needed].handles.begin(),
-                            stages_[needed].handles.end());
+    stage_request request;
+    request.service = settings.service;
+    request.order.call = plan_.request->id;
+    request.order.stage = stage;
+    request.order.pieces = state.pieces;
+    request.order.result_bytes = settings.result_bytes;
+    for (const std::size_t needed : settings.after) {
+        const std::vector<std::string>& handles = stages_[needed].handles;
+        request.order.inputs.insert(request.order.inputs.end(), handles.begin(), handles.end());
     }
-    if (route_.stages[stage].after.empty()) {
-        order.key = request_.piece_key;
+    if (settings.after.empty()) {
+        request.order.key = plan_.request->piece_key;
     }
+    request.near = plan_.near;
+    request.due = plan_.due - state.rest - state.own;
+    request.latest = plan_.latest - state.rest - state.own;
     const std::shared_ptr<input_stages> self = shared_from_this();
-    for (std::size_t piece = 0; piece < state.pieces; ++piece) {
-        order.piece = piece;
-        state.tickets.push_back(
-            pool_.make(piece_request{route_.stages[stage].service, order, due_, deadline_},
-                       [self, stage, piece](const relay::piece_result& result) {
-                           asio::post(self->executor_, [self, stage, piece, result]() {
-                               self->take(stage, piece, result);
-                           });
-                       }));
-    }
+    router_->make(std::move(request), [self, stage](const stage_result& result) {
+        asio::post(self->executor_, [self, stage, result]() { self->take(stage, result); });
+    });
 }
 
-void input_stages::take(std::size_t stage, std::size_t piece, const relay::piece_result& result) {
-    if (stopped_) {
-        if (result.handle) {
-            pool_.release({*result.handle});
-        }
-        return;
+void input_stages::take(std::size_t stage, const stage_result& result) {
+    if (result) {
+        stages_[stage].handles = *result;
+        stages_[stage].made = true;
+    } else if (!failure_) {
+        failure_ = result.error();
     }
-    if (result.handle) {
-        stages_[stage].handles[piece] = *result.handle;
-        ++stages_[stage].made;
+    if (stopped_ || failure_) {
+        release();
+    } else {
         begin_ready_stages();
-    } else if (!failure_) {
-        failure_ = result.failure;
+        release_used();
     }
     progress_.cancel();
 }
 
+void input_stages::release_used() {
+    for (std::size_t n = 0; n < stages_.size(); ++n) {
+        bool used = is_needed(n);
+        for (std::size_t other = 0; other < stages_.size(); ++other) {
+            used = used && (!is_needed_by(n, other) || stages_[other].made);
+        }
+        if (used) {
+            release(n);
+        }
+    }
+}
+
+void input_stages::release(std::size_t stage) {
+    if (!stages_[stage].handles.empty()) {
+        router_->release(plan_.route->stages[stage].service, std::move(stages_[stage].handles));
+        stages_[stage].handles.clear();
+    }
+}
+
 std::vector<std::string> input_stages::inputs() const {
     std::vector<std::string> out;
     for (std::size_t n = 0; n < stages_.size(); ++n) {
-        const bool needed = std::ranges::any_of(route_.stages, [n](const config::relay_stage& other) {
-            return std::ranges::find(other.after, n) != other.after.end();
-        });
-        if (!needed) {
+        if (!is_needed(n)) {
             out.insert(out.end(), stages_[n].handles.begin(), stages_[n].handles.end());
         }
     }
@@ -123,19 +172,9 @@
 
 void input_stages::release() {
     stopped_ = true;
-    std::vector<std::string> held;
-    for (stage_state& state : stages_) {
-        for (const relay::piece_ticket ticket : state.tickets) {
-            pool_.cancel(ticket);
-        }
-        for (const std::string& handle : state.handles) {
-            if (!handle.empty()) {
-                held.push_back(handle);
-            }
-        }
-        state.handles.clear();
+    for (std::size_t n = 0; n < stages_.size(); ++n) {
+        release(n);
     }
-    pool_.release(std::move(held));
 }
 
 } // namespace rattanbay::daemon::internal
--- a/packages/daemon/src/internal/control.hpp
+++ b/packages/daemon/src/internal/control.hpp
@@ -4,6 +4,7 @@
 #include "ledger_keeper.hpp"
 #include "member_keeper.hpp"
 #include "peer_transport.hpp"
+#include "piece_router.hpp"
 #include "shared_state.hpp"
 #include "state_keeper.hpp"
 
@@ -26,6 +27,9 @@
 
     ledger_keeper& ledger() { return *ledger_; }
 
+    /// Null unless the daemon relays requests.
+    const std::shared_ptr<piece_router>& pieces() const { return piece_router_; }
+
     /// Text of the key prefix that a member hands out.
     std::string prefix_text(const peer::member_record& member) const;
 
@@ -56,6 +60,8 @@
     std::unique_ptr<member_keeper> members_;
     std::shared_ptr<state_keeper> state_;
     std::shared_ptr<ledger_keeper> ledger_;
+    std::shared_ptr<piece_pool> piece_pool_;
+    std::shared_ptr<piece_router> piece_router_;
     /// Live daemons by which the accounts' limits are divided now, and the document they are of.
     std::size_t live_members_ = 0;
     std::uint64_t limits_revision_ = 0;
--- a/packages/daemon/src/internal/input_stages.hpp
+++ b/packages/daemon/src/internal/input_stages.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "piece_pool.hpp"
+#include "piece_router.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -13,12 +13,23 @@
 
 namespace rattanbay::daemon::internal {
 
+/// What the stages of a request are planned by.
+struct stage_plan {
+    const relay::call* request = nullptr;
+    const config::relay_route* route = nullptr;
+    std::shared_ptr<const relay_serving> serving;
+    /// Where the request will run.
+    base::failure_domain near;
+    /// When the request has to begin to meet its objective, and when it is of no use.
+    base::time_point due;
+    base::time_point latest;
+};
+
 /// The stages of one request: has their pieces made in the order in which they need each other, and
 /// holds the handles of their results. Runs on the request's executor.
 class input_stages : public std::enable_shared_from_this<input_stages> {
 public:
-    input_stages(piece_pool& pool, asio::any_io_executor executor, const relay::call& request,
-                 const config::relay_route& route, base::time_point due, base::time_point deadline);
+    input_stages(std::shared_ptr<piece_router> pieces, asio::any_io_executor executor, stage_plan plan);
 
     /// Makes all pieces; returns why that failed, or nothing. Ends early when `stop` is called.
     asio::awaitable<std::optional<relay::piece_failure>> make();
@@ -29,30 +40,33 @@
     /// Results of the stages that no other stage needs.
     std::vector<std::string> inputs() const;
 
-    /// Gives all pieces and results up.
+    /// Gives all results up.
     void release();
 
 private:
     struct stage_state {
         std::size_t pieces = 0;
-        std::size_t made = 0;
         bool begun = false;
+        bool made = false;
         std::vector<std::string> handles;
-        std::vector<relay::piece_ticket> tickets;
+        /// Time that the stage itself usually takes, and all that follow it.
+        base::duration own{};
+        base::duration rest{};
     };
 
+    void estimate_times();
     void begin_ready_stages();
     void begin(std::size_t stage);
-    bool is_ready(std::size_t stage) const;
+    bool is_needed_by(std::size_t stage, std::size_t other) const;
+    bool is_needed(std::size_t stage) const;
     bool is_whole() const;
-    void take(std::size_t stage, std::size_t piece, const relay::piece_result& result);
+    void take(std::size_t stage, const stage_result& result);
+    void release_used();
+    void release(std::size_t stage);
 
-    piece_pool& pool_;
+    std::shared_ptr<piece_router> router_;
     asio::any_io_executor executor_;
-    const relay::call& request_;
-    const config::relay_route& route_;
-    base::time_point due_;
-    base::time_point deadline_;
+    stage_plan plan_;
     asio::steady_timer progress_;
     std::vector<stage_state> stages_;
     std::optional<relay::piece_failure> failure_;
--- a/packages/daemon/src/internal/piece_pool.hpp
+++ b/packages/daemon/src/internal/piece_pool.hpp
@@ -1,82 +1,108 @@
 #pragma once
 
+#include "peer_transport.hpp"
 #include "relay_state.hpp"
 
-#include <boost/asio/awaitable.hpp>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/strand.hpp>
+#include <tl/expected.hpp>
 
-#include <atomic>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace rattanbay::daemon::internal {
 
-namespace asio = boost::asio;
-
-/// What a request asks of a worker pool.
-struct piece_request {
+/// What a request asks of a worker pool: all pieces of one of its stages.
+struct stage_request {
     base::service_name service;
-    relay::piece_order order;
+    relay::stage_order order;
+    /// Where the results will be used; empty when that is not known.
+    base::failure_domain near;
+    /// When the pieces have to begin for the request to meet its objective.
     base::time_point due;
-    base::time_point deadline;
+    /// When the pieces are of no use any more.
+    base::time_point latest;
 };
 
-/// Takes a result; runs on the pool's strand.
-using piece_handler = std::function<void(relay::piece_result)>;
+/// Handles of the results in the order of the pieces, or why there are none.
+using stage_result = tl::expected<std::vector<std::string>, relay::piece_failure>;
+
+/// Takes what became of a stage; runs on the control strand.
+using stage_handler = std::function<void(const stage_result&)>;
+
+/// Number of a stage that is being done.
+using stage_ticket = std::uint64_t;
 
-/// Makes pieces in calls that the requests of this daemon share, and gives results up. It runs on a
-/// strand of its own; all public functions may be called by any thread.
+/// Has pieces made by the worker pools that this daemon schedules, and gives results up. It runs on
+/// the control strand.
 class piece_pool : public std::enable_shared_from_this<piece_pool> {
 public:
-    piece_pool(asio::io_context& context, relay_state& relay);
+    piece_pool(relay_state& relay, control_strand strand);
 
-    /// Queues a piece. `done` is called once, unless the piece is cancelled.
-    relay::piece_ticket make(piece_request request, piece_handler done);
+    /// Queues the pieces of a stage. `done` is called once, unless the stage is cancelled.
+    stage_ticket make(stage_request request, stage_handler done);
 
-    /// Gives a piece up; its handler may still run when it ends at the same time.
-    void cancel(relay::piece_ticket ticket);
+    /// Gives a stage up.
+    void cancel(stage_ticket ticket);
 
     /// Tells the holders of results that they are no longer needed.
-    void release(std::vector<std::string> handles);
+    void release(const base::service_name& service, const std::vector<std::string>& handles);
 
 private:
-    struct job {
-        piece_request request;
-        piece_handler done;
+    struct stage_job {
+        stage_request request;
+        stage_handler done;
+        std::vector<std::string> handles;
+        std::size_t missing = 0;
+    };
+
+    struct piece_job {
+        stage_ticket stage = 0;
+        std::size_t piece = 0;
         unsigned tries = 0;
     };
 
-    /// Waiting pieces and calls in progress of one service.
+    /// Calls to one service.
     struct line {
-        relay::piece_queue queue;
-        std::size_t calls = 0;
-        bool retry_set = false;
+        relay::piece_scheduler scheduler;
+        /// Document revision and VM list version that the scheduler was configured for.
+        std::pair<std::uint64_t, std::uint64_t> configured;
+        base::duration call_limit{};
+        std::size_t batch = 1;
+        bool wakeup_set = false;
     };
 
-    void queue(relay::piece_ticket ticket);
+    bool configure(const base::service_name& service);
     void pump(const base::service_name& service);
-    void pump_later(const base::service_name& service);
-    asio::awaitable<void> call(base::service_name service, relay::chosen_endpoint endpoint,
-                               std::vector<relay::waiting_piece> pieces, base::duration limit);
-    void take_results(const std::vector<relay::waiting_piece>& pieces,
-                      const std::vector<relay::piece_result>& results);
-    void try_again(const base::service_name& service, const std::vector<relay::waiting_piece>& pieces,
-                   relay::attempt_end end);
-    void finish(relay::piece_ticket ticket, const relay::piece_result& result);
+    void wake_later(const base::service_name& service);
+    asio::awaitable<void> call(base::service_name service, relay::piece_batch batch);
+    relay::attempt_end read_answer(const base::service_name& service, const relay::piece_batch& batch,
+                                   const base::result<http::response>& answer, std::string& detail,
+                                   std::vector<relay::held_result>& held);
+    void take_results(const base::service_name& service, const relay::piece_batch& batch,
+                      const std::vector<relay::piece_result>& results,
+                      std::vector<relay::held_result>& held);
+    void try_again(const base::service_name& service, relay::piece_batch batch, relay::attempt_end end);
+    bool may_repeat(const base::service_name& service);
+    void finish_piece(relay::piece_ticket ticket, const std::string& handle);
+    void fail_piece(relay::piece_ticket ticket, relay::piece_failure failure);
+    void drop(std::map<stage_ticket, stage_job>::iterator stage);
     asio::awaitable<void> flush_releases();
     asio::awaitable<void> send_release(base::address holder, std::vector<std::string> handles);
 
     relay_state& relay_;
-    asio::strand<asio::io_context::executor_type> strand_;
-    std::atomic<relay::piece_ticket> tickets_{0};
-    std::map<relay::piece_ticket, job> jobs_;
+    control_strand strand_;
+    stage_ticket stage_tickets_ = 0;
+    relay::piece_ticket piece_tickets_ = 0;
+    std::map<stage_ticket, stage_job> stages_;
+    std::map<relay::piece_ticket, piece_job> pieces_;
     std::map<base::service_name, line> lines_;
     std::map<base::address, std::vector<std::string>> releases_;
+    bool releasing_ = false;
 };
 
 } // namespace rattanbay::daemon::internal
--- /dev/null
+++ b/packages/daemon/src/internal/piece_router.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "piece_pool.hpp"
+#include "shared_state.hpp"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace rattanbay::daemon::internal {
+
+/// Sends the stages of this daemon's requests to the daemon that schedules their worker pool. All
+/// daemons choose the same one for a service as long as they know the same members; pieces of all
+/// requests then share calls. While the scheduling daemon cannot be reached, this one has the pieces
+/// made itself. All public functions may be called by any thread; the rest runs on the control
+/// strand.
+class piece_router : public std::enable_shared_from_this<piece_router> {
+public:
+    piece_router(shared_state& shared, piece_pool& pool, peer_transport& transport, control_strand strand);
+
+    /// Has the pieces of a stage made. `done` is called once, on the control strand.
+    void make(stage_request request, stage_handler done);
+
+    /// Tells that results are no longer needed.
+    void release(base::service_name service, std::vector<std::string> handles);
+
+    /// Answers another daemon that takes this one for the scheduling one.
+    asio::awaitable<peer::frame> answer(peer::make_pieces message);
+
+    /// Takes results of another daemon's requests that are no longer needed.
+    void take_release(const peer::release_pieces& message);
+
+private:
+    /// The daemon that schedules a service's pool; null when it is this one.
+    std::optional<peer::member_record> scheduler_of(const base::service_name& service) const;
+    asio::awaitable<void> make_remotely(peer::member_record scheduler, stage_request request,
+                                        stage_handler done);
+    asio::awaitable<void> release_remotely(peer::member_record scheduler, peer::release_pieces message);
+    asio::awaitable<void> watch(peer::member_record scheduler, std::shared_ptr<exchange_handle> handle);
+
+    shared_state& shared_;
+    piece_pool& pool_;
+    peer_transport& transport_;
+    control_strand strand_;
+};
+
+} // namespace rattanbay::daemon::internal
--- a/packages/daemon/src/internal/relay_handler.hpp
+++ b/packages/daemon/src/internal/relay_handler.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "piece_pool.hpp"
+#include "piece_router.hpp"
 #include "shared_state.hpp"
 
 #include <rattanbay/base/problem.hpp>
@@ -16,7 +16,7 @@
 /// daemons to use, and the question for readiness.
 class relay_handler {
 public:
-    relay_handler(shared_state& shared, std::shared_ptr<piece_pool> pieces);
+    relay_handler(shared_state& shared, std::shared_ptr<piece_router> pieces);
 
     /// Relays a request.
     asio::awaitable<void> handle(const http::request& message, http::responder& out);
@@ -32,7 +32,7 @@
 
     shared_state& shared_;
     relay_state& relay_;
-    std::shared_ptr<piece_pool> pieces_;
+    std::shared_ptr<piece_router> pieces_;
 };
 
 } // namespace rattanbay::daemon::internal
--- a/packages/daemon/src/internal/relay_run.hpp
+++ b/packages/daemon/src/internal/relay_run.hpp
@@ -28,7 +28,8 @@
 /// it again where that is allowed. Runs on the strand of the client's connection.
 class relay_run : public std::enable_shared_from_this<relay_run> {
 public:
-    relay_run(shared_state& shared, piece_pool& pieces, asio::any_io_executor executor, relay_input input);
+    relay_run(shared_state& shared, std::shared_ptr<piece_router> pieces, asio::any_io_executor executor,
+              relay_input input);
 
     /// Relays the request to its end and answers the client.
     asio::awaitable<void> execute(http::responder& out);
@@ -73,13 +74,15 @@
 
     shared_state& shared_;
     relay_state& relay_;
-    piece_pool& pieces_;
+    std::shared_ptr<piece_router> pieces_;
     asio::any_io_executor executor_;
     relay_input input_;
     base::random_source random_;
     base::service_name service_;
     base::time_point deadline_;
     std::shared_ptr<input_stages> stages_;
+    /// Where the results of the stages are, if they are large; the request should run there.
+    base::failure_domain near_;
     relay::event_splitter splitter_;
     std::vector<base::endpoint_id> tried_;
     /// Attempts of which something was sent.
--- a/packages/daemon/src/peer_transport.cpp
+++ b/packages/daemon/src/peer_transport.cpp
@@ -19,6 +19,10 @@
 
 constexpr std::chrono::milliseconds connect_limit{300};
 constexpr std::chrono::seconds frame_limit{5};
+/// Idle time after which a kept connection is not used again, and after which it is closed by the
+/// side that serves it.
+constexpr std::chrono::seconds kept_idle{5};
+constexpr std::chrono::seconds served_idle{15};
 
 base::error to_error(const error_code& ec, const base::address& remote) {
     const std::string message = "peer " + remote.text() + ": " + ec.message();
@@ -152,56 +156,125 @@
 }
 
 asio::awaitable<void> peer_transport::serve(tcp::socket socket) {
+    const std::shared_ptr<peer_transport> self = shared_from_this();
     error_code ec;
     const tcp::endpoint from = socket.remote_endpoint(ec);
+    socket.set_option(tcp::no_delay(true), ec);
     beast::tcp_stream stream(std::move(socket));
-    base::result<peer::frame> message =
-        co_await read_frame(stream, shared_.settings.cluster_secret, frame_limit, ec);
-    if (!message) {
-        if (!ec) {
-            telemetry::log(telemetry::log_event::peer_message_rejected,
-                           {{"from", from.address().to_string()}, {"reason", message.error().message}});
+    while (!stopped_) {
+        base::result<peer::frame> message =
+            co_await read_frame(stream, shared_.settings.cluster_secret, served_idle, ec);
+        if (!message) {
+            if (!ec) {
+                telemetry::log(telemetry::log_event::peer_message_rejected,
+                               {{"from", from.address().to_string()}, {"reason", message.error().message}});
+            }
+            co_return;
+        }
+        if (stopped_) {
+            co_return;
+        }
+        const peer::frame answer = co_await on_frame_(std::move(*message));
+        const std::string bytes = peer::encode(answer, shared_.settings.cluster_secret);
+        stream.expires_after(frame_limit);
+        co_await asio::async_write(stream, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, ec));
+        if (ec) {
+            co_return;
         }
-        co_return;
-    }
-    if (stopped_) {
-        co_return;
     }
-    const peer::frame answer = co_await on_frame_(std::move(*message));
-    const std::string bytes = peer::encode(answer, shared_.settings.cluster_secret);
-    stream.expires_after(frame_limit);
-    co_await asio::async_write(stream, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, ec));
 }
 
-asio::awaitable<base::result<peer::frame>> peer_transport::exchange(base::address to, peer::frame message,
-                                                                    base::duration limit) {
-    beast::tcp_stream stream(strand_);
+asio::awaitable<base::result<peer_transport::stream_ptr>> peer_transport::connect(base::address to,
+                                                                                  base::duration limit) {
+    const stream_ptr stream = std::make_shared<beast::tcp_stream>(strand_);
     error_code ec;
-    stream.expires_after(std::min<base::duration>(connect_limit, limit));
+    stream->expires_after(std::min<base::duration>(connect_limit, limit));
     const tcp::endpoint target(asio::ip::make_address_v4(to.ip), to.port);
-    co_await stream.async_connect(target, asio::redirect_error(asio::use_awaitable, ec));
-    if (!ec) {
-        const std::string bytes = peer::encode(message, shared_.settings.cluster_secret);
-        stream.expires_after(frame_limit);
-        co_await asio::async_write(stream, asio::buffer(bytes),
-                                   asio::redirect_error(asio::use_awaitable, ec));
+    co_await stream->async_connect(target, asio::redirect_error(asio::use_awaitable, ec));
+    if (ec) {
+        co_return tl::unexpected<base::error>(to_error(ec, to));
     }
+    stream->socket().set_option(tcp::no_delay(true), ec);
+    co_return stream;
+}
+
+asio::awaitable<base::result<peer::frame>>
+peer_transport::exchange_on(stream_ptr stream, base::address to, const peer::frame& message,
+                            base::duration limit) {
+    const std::string bytes = peer::encode(message, shared_.settings.cluster_secret);
+    error_code ec;
+    stream->expires_after(std::min<base::duration>(frame_limit, limit));
+    co_await asio::async_write(*stream, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, ec));
     if (ec) {
         co_return tl::unexpected<base::error>(to_error(ec, to));
     }
     base::result<peer::frame> answer =
-        co_await read_frame(stream, shared_.settings.cluster_secret, limit, ec);
+        co_await read_frame(*stream, shared_.settings.cluster_secret, limit, ec);
     if (ec) {
         co_return tl::unexpected<base::error>(to_error(ec, to));
     }
     co_return answer;
 }
 
+asio::awaitable<base::result<peer::frame>> peer_transport::exchange(base::address to, peer::frame message,
+                                                                    base::duration limit) {
+    const base::result<stream_ptr> opened = co_await connect(to, limit);
+    if (!opened) {
+        co_return tl::unexpected<base::error>(opened.error());
+    }
+    co_return co_await exchange_on(*opened, to, message, limit);
+}
+
+peer_transport::stream_ptr peer_transport::take_kept(const base::address& to) {
+    std::vector<kept_connection>& list = kept_[to];
+    stream_ptr found;
+    while (!found && !list.empty()) {
+        const kept_connection last = std::move(list.back());
+        list.pop_back();
+        if (std::chrono::steady_clock::now() - last.since < kept_idle) {
+            found = last.stream;
+        }
+    }
+    return found;
+}
+
+asio::awaitable<base::result<peer::frame>>
+peer_transport::exchange_kept(base::address to, peer::frame message, base::duration limit,
+                              std::shared_ptr<exchange_handle> handle) {
+    const std::shared_ptr<peer_transport> self = shared_from_this();
+    stream_ptr stream = take_kept(to);
+    bool reused = stream != nullptr;
+    base::result<peer::frame> answer = base::fail(base::error_code::unavailable, "not sent");
+    while (true) {
+        if (!stream) {
+            const base::result<stream_ptr> opened = co_await connect(to, limit);
+            if (!opened) {
+                co_return tl::unexpected<base::error>(opened.error());
+            }
+            stream = *opened;
+        }
+        handle->abort = [stream]() { stream->close(); };
+        answer = co_await exchange_on(stream, to, message, limit);
+        handle->abort = nullptr;
+        const bool broken = !answer && answer.error().code == base::error_code::connection_broken;
+        if (!reused || !broken || handle->ended) {
+            break;
+        }
+        reused = false;
+        stream = nullptr;
+    }
+    if (answer && !stopped_) {
+        kept_[to].push_back({stream, std::chrono::steady_clock::now()});
+    }
+    co_return answer;
+}
+
 void peer_transport::stop() {
     stopped_ = true;
     error_code ignored;
     datagrams_.close(ignored);
     acceptor_.close(ignored);
+    kept_.clear();
     // The handlers refer to the owner of this transport.
     on_datagram_ = nullptr;
     on_frame_ = nullptr;
--- a/packages/daemon/src/piece_pool.cpp
+++ b/packages/daemon/src/piece_pool.cpp
@@ -6,8 +6,8 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
@@ -18,244 +18,296 @@
 
 /// Calls that a piece may be part of before it is given up.
 constexpr unsigned most_tries = 4;
-/// Pause after a call that the endpoint declined, or while no endpoint is free.
-constexpr std::chrono::milliseconds retry_pause{25};
+/// Period in which pieces that wait for room, for a near endpoint or for an endpoint that was
+/// ejected are looked at again.
+constexpr std::chrono::milliseconds wakeup_period{20};
 /// Time in which results that are given up are collected into one call for each holder.
-constexpr std::chrono::milliseconds release_period{150};
+constexpr std::chrono::milliseconds release_period{50};
 constexpr std::chrono::seconds release_limit{1};
-/// Margin for the network and the endpoint's own delays.
+/// Margin of a call for the network and the endpoint's own delays.
 constexpr std::chrono::milliseconds call_margin{500};
 
-/// Time within which a call ends, if calls that came before it fill the endpoint's queue.
+/// Time within which a call ends, if a full call is ahead of it.
 base::duration call_limit(const config::piece_limits& pieces) {
-    const base::duration whole = pieces.call_time + pieces.piece_time * static_cast<int>(pieces.batch);
-    return whole * static_cast<int>(pieces.queue + 2) + call_margin;
+    const base::duration whole = pieces.call_time + pieces.piece_time * static_cast<std::int64_t>(pieces.batch);
+    return whole * 2 + call_margin;
 }
 
 } // namespace
 
-piece_pool::piece_pool(asio::io_context& context, relay_state& relay)
+piece_pool::piece_pool(relay_state& relay, control_strand strand)
     : relay_(relay)
-    , strand_(asio::make_strand(context)) {}
+    , strand_(strand) {}
 
-relay::piece_ticket piece_pool::make(piece_request request, piece_handler done) {
-    const relay::piece_ticket ticket = tickets_.fetch_add(1) + 1;
-    const std::shared_ptr<piece_pool> self = shared_from_this();
-    asio::post(strand_, [self, ticket, request = std::move(request), done = std::move(done)]() mutable {
-        const base::service_name service = request.service;
-        const std::shared_ptr<const relay_serving> serving = self->relay_.serving.read();
-        const auto budget = serving->budgets.find(service);
+stage_ticket piece_pool::make(stage_request request, stage_handler done) {
+    const base::service_name service = request.service;
+    const stage_ticket ticket = ++stage_tickets_;
+    if (!configure(service)) {
+        done(tl::unexpected(relay::piece_failure::failed));
+        return ticket;
+    }
+    const std::shared_ptr<const relay_serving> serving = relay_.serving.read();
+    const auto budget = serving->budgets.find(service);
+    stage_job job{request, std::move(done), {}, request.order.pieces};
+    job.handles.resize(request.order.pieces);
+    stages_.emplace(ticket, std::move(job));
+    const base::time_point time = now();
+    for (std::size_t piece = 0; piece < request.order.pieces; ++piece) {
+        relay::waiting_piece waiting;
+        waiting.ticket = ++piece_tickets_;
+        waiting.order = relay::piece_order{
+            request.order.call, request.order.stage, piece, {}, request.order.key, request.order.inputs};
+        waiting.near = request.near;
+        waiting.result_bytes = request.order.result_bytes;
+        waiting.arrival = time;
+        waiting.due = request.due;
+        waiting.latest = request.latest;
+        pieces_.emplace(waiting.ticket, piece_job{ticket, piece, 0});
         if (budget != serving->budgets.end()) {
-            budget->second->count_request(now());
+            budget->second->count_request(time);
         }
-        self->jobs_.emplace(ticket, job{std::move(request), std::move(done)});
-        self->queue(ticket);
-        self->pump(service);
-    });
+        const relay::piece_ticket number = waiting.ticket;
+        if (!lines_[service].scheduler.add(std::move(waiting), time)) {
+            fail_piece(number, relay::piece_failure::late);
+            break;
+        }
+    }
+    pump(service);
     return ticket;
 }
 
-void piece_pool::cancel(relay::piece_ticket ticket) {
-    const std::shared_ptr<piece_pool> self = shared_from_this();
-    asio::post(strand_, [self, ticket]() {
-        const auto it = self->jobs_.find(ticket);
-        if (it != self->jobs_.end()) {
-            self->lines_[it->second.request.service].queue.cancel(ticket);
-            self->jobs_.erase(it);
-        }
-    });
+void piece_pool::cancel(stage_ticket ticket) {
+    const auto it = stages_.find(ticket);
+    if (it != stages_.end()) {
+        drop(it);
+    }
 }
 
-void piece_pool::release(std::vector<std::string> handles) {
-    if (handles.empty()) {
-        return;
-    }
-    const std::shared_ptr<piece_pool> self = shared_from_this();
-    asio::post(strand_, [self, handles = std::move(handles)]() {
-        const bool idle = self->releases_.empty();
-        for (const std::string& handle : handles) {
-            const std::optional<base::address> holder = self->relay_.protocol->holder(handle);
-            if (holder) {
-                self->releases_[*holder].push_back(handle);
-            }
-        }
-        if (idle && !self->releases_.empty()) {
-            asio::co_spawn(
-                self->strand_, [self]() { return self->flush_releases(); }, asio::detached);
+void piece_pool::drop(std::map<stage_ticket, stage_job>::iterator stage) {
+    const base::service_name service = stage->second.request.service;
+    relay::piece_scheduler& scheduler = lines_[service].scheduler;
+    std::erase_if(pieces_, [&](const auto& row) {
+        if (row.second.stage != stage->first) {
+            return false;
         }
+        scheduler.cancel(row.first);
+        return true;
     });
+    const std::vector<std::string> made = std::move(stage->second.handles);
+    stages_.erase(stage);
+    release(service, made);
 }
 
-void piece_pool::queue(relay::piece_ticket ticket) {
-    const job& queued = jobs_.at(ticket);
-    lines_[queued.request.service].queue.add(relay::waiting_piece{
-        ticket, queued.request.order, queued.request.due, queued.request.deadline});
+void piece_pool::release(const base::service_name& service, const std::vector<std::string>& handles) {
+    for (const std::string& handle : handles) {
+        const std::optional<base::address> holder =
+            handle.empty() ? std::nullopt : relay_.protocol->holder(handle);
+        if (holder) {
+            releases_[*holder].push_back(handle);
+            lines_[service].scheduler.released(handle);
+        }
+    }
+    if (!releases_.empty() && !releasing_) {
+        releasing_ = true;
+        const std::shared_ptr<piece_pool> self = shared_from_this();
+        asio::co_spawn(
+            strand_, [self]() { return self->flush_releases(); }, asio::detached);
+    }
+    pump(service);
 }
 
-void piece_pool::pump(const base::service_name& service) {
-    line& here = lines_[service];
-    const base::time_point time = now();
-    for (const relay::piece_ticket late : here.queue.expire(time)) {
-        finish(late, relay::piece_result{std::nullopt, relay::piece_failure::late});
-    }
+bool piece_pool::configure(const base::service_name& service) {
     const std::shared_ptr<const relay_serving> serving = relay_.serving.read();
     const config::relay_service* const settings = serving->find(service);
     if (settings == nullptr || !settings->pieces) {
-        if (here.queue.size() > 0) {
-            pump_later(service);
-        }
-        return;
+        return false;
     }
-    const config::piece_limits& limits = *settings->pieces;
-    const std::size_t most = relay::most_calls(relay_.balancer.usable_endpoints(service), limits.slots,
-                                               std::max<std::size_t>(1, relay_.daemons.load()));
-    while (here.queue.size() > 0 && here.calls < most) {
-        relay::endpoint_question question;
-        question.service = service;
-        question.most_running = static_cast<std::uint32_t>(limits.slots);
-        const std::optional<relay::chosen_endpoint> endpoint = relay_.balancer.choose(question, time);
-        if (!endpoint) {
-            pump_later(service);
-            return;
-        }
-        ++here.calls;
-        relay_.balancer.started(endpoint->id);
+    line& here = lines_[service];
+    const std::pair<std::uint64_t, std::uint64_t> wanted(serving->revision, relay_.balancer.generation());
+    if (here.configured != wanted) {
+        here.scheduler.configure(*settings->pieces, relay_.balancer.usable_endpoints(service));
+        here.call_limit = call_limit(*settings->pieces);
+        here.batch = settings->pieces->batch;
+        here.configured = wanted;
+    }
+    return true;
+}
+
+void piece_pool::pump(const base::service_name& service) {
+    configure(service);
+    line& here = lines_[service];
+    for (const relay::piece_ticket late : here.scheduler.expire(now())) {
+        fail_piece(late, relay::piece_failure::late);
+    }
+    while (std::optional<relay::piece_batch> batch = here.scheduler.next(now())) {
         const std::shared_ptr<piece_pool> self = shared_from_this();
         asio::co_spawn(
             strand_,
-            [self, service, chosen = *endpoint, pieces = here.queue.take(limits.batch),
-             limit = call_limit(limits)]() { return self->call(service, chosen, pieces, limit); },
+            [self, service, next = std::move(*batch)]() { return self->call(service, next); },
             asio::detached);
     }
+    if (here.scheduler.needs_wakeup()) {
+        wake_later(service);
+    }
 }
 
-void piece_pool::pump_later(const base::service_name& service) {
+void piece_pool::wake_later(const base::service_name& service) {
     line& here = lines_[service];
-    if (here.retry_set) {
+    if (here.wakeup_set) {
         return;
     }
-    here.retry_set = true;
-    const std::shared_ptr<piece_pool> self = shared_from_this();
+    here.wakeup_set = true;
+    const std::weak_ptr<piece_pool> weak = weak_from_this();
     const std::shared_ptr<asio::steady_timer> timer =
-        std::make_shared<asio::steady_timer>(strand_, retry_pause);
-    timer->async_wait([self, service, timer](const boost::system::error_code&) {
-        self->lines_[service].retry_set = false;
-        self->pump(service);
+        std::make_shared<asio::steady_timer>(strand_, wakeup_period);
+    timer->async_wait([weak, service, timer](const boost::system::error_code&) {
+        const std::shared_ptr<piece_pool> self = weak.lock();
+        if (self) {
+            self->lines_[service].wakeup_set = false;
+            self->pump(service);
+        }
     });
 }
 
-asio::awaitable<void> piece_pool::call(base::service_name service, relay::chosen_endpoint endpoint,
-                                       std::vector<relay::waiting_piece> pieces, base::duration limit) {
+asio::awaitable<void> piece_pool::call(base::service_name service, relay::piece_batch batch) {
     const base::time_point start = now();
     std::vector<relay::piece_order> orders;
-    for (const relay::waiting_piece& piece : pieces) {
+    for (const relay::waiting_piece& piece : batch.pieces) {
         orders.push_back(piece.order);
-        orders.back().time_left = piece.deadline - start;
+        orders.back().time_left = piece.latest - start;
     }
     http::exchange_limits limits;
-    limits.head = limit;
-    http::request message = relay_.protocol->write_pieces(orders, endpoint.id);
-    const base::result<http::response> answer =
-        co_await http::exchange(strand_, relay_.pool, endpoint.address, std::move(message), limits);
-    relay::attempt_end end = relay::attempt_end::broken;
+    limits.head = lines_[service].call_limit;
+    http::request message = relay_.protocol->write_pieces(orders, batch.endpoint.id);
+    const base::result<http::response> answer = co_await http::exchange(
+        strand_, relay_.pool, batch.endpoint.address, std::move(message), limits);
     std::string detail;
-    if (answer) {
-        const relay::answer_head head =
-            relay_.protocol->read_answer(http::response_head{answer->status, answer->fields});
-        if (head.load) {
-            relay_.balancer.reported(endpoint.id, *head.load, now());
-        }
-        constexpr int status_ok = 200;
-        base::result<std::vector<relay::piece_result>> results =
-            base::fail(base::error_code::unavailable, "status " + std::to_string(answer->status));
-        if (answer->status == status_ok) {
-            results = relay_.protocol->read_pieces(answer->body, pieces.size());
-        }
-        end = head.not_run ? relay::attempt_end::declined
-              : results    ? relay::attempt_end::answered
-                           : relay::attempt_end::broken;
-        if (results) {
-            take_results(pieces, *results);
-        } else {
-            detail = results.error().message;
-        }
-    } else {
-        end = answer.error().code == base::error_code::connection_refused ? relay::attempt_end::not_sent
-                                                                          : relay::attempt_end::broken;
-        detail = answer.error().message;
-    }
-    const double size = static_cast<double>(pieces.size());
-    relay_.balancer.ended(endpoint.id, end, now() - start, 1 + size / 8, now());
+    std::vector<relay::held_result> held;
+    const relay::attempt_end end = read_answer(service, batch, answer, detail, held);
+    lines_[service].scheduler.ended(batch.endpoint.id, end, held, now());
     if (end != relay::attempt_end::answered) {
+        const double took = base::to_milliseconds(now() - start);
         telemetry::log(telemetry::log_event::piece_call_failed,
-                       {{"request", pieces.front().order.call.text()},
+                       {{"request", batch.pieces.front().order.call.text()},
                         {"service", service.text()},
-                        {"endpoint", endpoint.id.text()},
-                        {"pieces", std::to_string(pieces.size())},
+                        {"endpoint", batch.endpoint.id.text()},
+                        {"pieces", std::to_string(batch.pieces.size())},
                         {"end", std::string(base::to_name(end))},
+                        {"took_ms", std::to_string(took)},
                         {"detail", detail}});
-        try_again(service, pieces, end);
+        try_again(service, std::move(batch), end);
     }
-    --lines_[service].calls;
-    if (end == relay::attempt_end::answered) {
-        pump(service);
-    } else {
-        pump_later(service);
+    pump(service);
+}
+
+relay::attempt_end piece_pool::read_answer(const base::service_name& service, const relay::piece_batch& batch,
+                                           const base::result<http::response>& answer, std::string& detail,
+                                           std::vector<relay::held_result>& held) {
+    if (!answer) {
+        detail = answer.error().message;
+        return answer.error().code == base::error_code::connection_refused ? relay::attempt_end::not_sent
+                                                                           : relay::attempt_end::broken;
+    }
+    const relay::answer_head head =
+        relay_.protocol->read_answer(http::response_head{answer->status, answer->fields});
+    detail = "status " + std::to_string(answer->status);
+    if (head.not_run) {
+        return relay::attempt_end::declined;
+    }
+    constexpr int status_ok = 200;
+    if (answer->status != status_ok) {
+        return relay::attempt_end::broken;
     }
+    const base::result<std::vector<relay::piece_result>> results =
+        relay_.protocol->read_pieces(answer->body, batch.pieces.size());
+    if (!results) {
+        detail = results.error().message;
+        return relay::attempt_end::broken;
+    }
+    take_results(service, batch, *results, held);
+    return relay::attempt_end::answered;
 }
 
-void piece_pool::take_results(const std::vector<relay::waiting_piece>& pieces,
-                              const std::vector<relay::piece_result>& results) {
+void piece_pool::take_results(const base::service_name& service, const relay::piece_batch& batch,
+                              const std::vector<relay::piece_result>& results,
+                              std::vector<relay::held_result>& held) {
     std::vector<std::string> unwanted;
-    for (std::size_t n = 0; n < pieces.size(); ++n) {
+    for (std::size_t n = 0; n < batch.pieces.size(); ++n) {
+        const relay::waiting_piece& piece = batch.pieces[n];
         const relay::piece_result& result = results[n];
-        const auto it = jobs_.find(pieces[n].ticket);
-        if (it == jobs_.end()) {
-            if (result.handle) {
-                unwanted.push_back(*result.handle);
-            }
+        const auto it = pieces_.find(piece.ticket);
+        if (result.handle) {
+            held.push_back({*result.handle, piece.result_bytes});
+        }
+        if (it == pieces_.end()) {
+            unwanted.push_back(result.handle.value_or(std::string()));
             continue;
         }
-        const bool may_help = !result.handle && (result.failure == relay::piece_failure::no_room ||
-                                                 result.failure == relay::piece_failure::failed);
-        if (may_help && ++it->second.tries < most_tries) {
-            queue(pieces[n].ticket);
+        const bool may_help =
+            result.failure == relay::piece_failure::no_room || result.failure == relay::piece_failure::failed;
+        if (result.handle) {
+            finish_piece(piece.ticket, *result.handle);
+        } else if (may_help && ++it->second.tries < most_tries) {
+            if (result.failure == relay::piece_failure::no_room) {
+                lines_[service].scheduler.no_room(batch.endpoint.id, now());
+            }
+            lines_[service].scheduler.put_back(piece);
         } else {
-            finish(pieces[n].ticket, result);
+            fail_piece(piece.ticket, result.failure);
         }
     }
-    release(std::move(unwanted));
+    if (!unwanted.empty()) {
+        release(service, unwanted);
+    }
 }
 
-void piece_pool::try_again(const base::service_name& service,
-                           const std::vector<relay::waiting_piece>& pieces, relay::attempt_end end) {
+bool piece_pool::may_repeat(const base::service_name& service) {
     const std::shared_ptr<const relay_serving> serving = relay_.serving.read();
     const auto budget = serving->budgets.find(service);
-    for (const relay::waiting_piece& piece : pieces) {
-        const auto it = jobs_.find(piece.ticket);
-        if (it == jobs_.end()) {
+    return budget != serving->budgets.end() && budget->second->try_spend(now(), relay_.daemons.load());
+}
+
+void piece_pool::try_again(const base::service_name& service, relay::piece_batch batch,
+                           relay::attempt_end end) {
+    for (relay::waiting_piece& piece : batch.pieces) {
+        const auto it = pieces_.find(piece.ticket);
+        if (it == pieces_.end()) {
             continue;
         }
         // A call that was declined or not sent did no work, so that sending its pieces again repeats none.
         const bool repeats = end == relay::attempt_end::broken;
-        const bool allowed = !repeats || (budget != serving->budgets.end() &&
-                                          budget->second->try_spend(now(), relay_.daemons.load()));
-        if (allowed && (!repeats || ++it->second.tries < most_tries)) {
-            queue(piece.ticket);
+        const bool allowed = !repeats || (++it->second.tries < most_tries && may_repeat(service));
+        if (allowed) {
+            lines_[service].scheduler.put_back(std::move(piece));
         } else {
-            finish(piece.ticket, relay::piece_result{std::nullopt, relay::piece_failure::failed});
+            fail_piece(piece.ticket, relay::piece_failure::failed);
         }
     }
 }
 
-void piece_pool::finish(relay::piece_ticket ticket, const relay::piece_result& result) {
-    const auto it = jobs_.find(ticket);
-    if (it == jobs_.end()) {
+void piece_pool::finish_piece(relay::piece_ticket ticket, const std::string& handle) {
+    const auto it = pieces_.find(ticket);
+    const auto stage = stages_.find(it->second.stage);
+    stage->second.handles[it->second.piece] = handle;
+    --stage->second.missing;
+    pieces_.erase(it);
+    if (stage->second.missing == 0) {
+        const stage_handler done = std::move(stage->second.done);
+        const std::vector<std::string> handles = std::move(stage->second.handles);
+        stages_.erase(stage);
+        done(handles);
+    }
+}
+
+void piece_pool::fail_piece(relay::piece_ticket ticket, relay::piece_failure failure) {
+    const auto it = pieces_.find(ticket);
+    if (it == pieces_.end()) {
         return;
     }
-    const piece_handler done = std::move(it->second.done);
-    jobs_.erase(it);
-    done(result);
+    const auto stage = stages_.find(it->second.stage);
+    const stage_handler done = std::move(stage->second.done);
+    drop(stage);
+    done(tl::unexpected(failure));
 }
 
 asio::awaitable<void> piece_pool::flush_releases() {
@@ -263,11 +315,13 @@
     asio::steady_timer timer(strand_, release_period);
     boost::system::error_code ec;
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    releasing_ = false;
     const std::map<base::address, std::vector<std::string>> due = std::move(releases_);
     releases_.clear();
     for (const auto& row : due) {
         asio::co_spawn(
-            strand_, [self, holder = row.first, handles = row.second]() { return self->send_release(holder, handles); },
+            strand_,
+            [self, holder = row.first, handles = row.second]() { return self->send_release(holder, handles); },
             asio::detached);
     }
 }
--- a/packages/daemon/src/relay_handler.cpp
+++ b/packages/daemon/src/relay_handler.cpp
@@ -37,7 +37,7 @@
 
 } // namespace
 
-relay_handler::relay_handler(shared_state& shared, std::shared_ptr<piece_pool> pieces)
+relay_handler::relay_handler(shared_state& shared, std::shared_ptr<piece_router> pieces)
     : shared_(shared)
     , relay_(*shared.relay)
     , pieces_(std::move(pieces)) {}
@@ -91,7 +91,7 @@
     const progress_count counted(shared_.requests_in_progress);
     const asio::any_io_executor executor = co_await asio::this_coro::executor;
     const std::shared_ptr<relay_run> run =
-        std::make_shared<relay_run>(shared_, *pieces_, executor, std::move(input));
+        std::make_shared<relay_run>(shared_, pieces_, executor, std::move(input));
     co_await run->execute(out);
 }
 
--- a/packages/daemon/src/relay_run.cpp
+++ b/packages/daemon/src/relay_run.cpp
@@ -24,6 +24,8 @@
 constexpr double comeback_share = 0.2;
 /// Silence in a stream, in longest pauses, after which it is continued at another endpoint.
 constexpr int silent_pauses = 4;
+/// Time to the first event that is planned with until one was measured.
+constexpr std::chrono::milliseconds unmeasured_run{300};
 constexpr std::size_t most_answer_bytes = 64 * 1024 * 1024;
 constexpr int first_server_error = 500;
 constexpr int first_redirection = 300;
@@ -34,11 +36,11 @@
 
 } // namespace
 
-relay_run::relay_run(shared_state& shared, piece_pool& pieces, asio::any_io_executor executor,
-                     relay_input input)
+relay_run::relay_run(shared_state& shared, std::shared_ptr<piece_router> pieces,
+                     asio::any_io_executor executor, relay_input input)
     : shared_(shared)
     , relay_(*shared.relay)
-    , pieces_(pieces)
+    , pieces_(std::move(pieces))
     , executor_(executor)
     , input_(std::move(input))
     , random_(shared.next_seed())
@@ -85,8 +87,13 @@
     }
     const base::duration objective =
         input_.route->objective > base::duration::zero() ? input_.route->objective : input_.route->timeout;
-    stages_ = std::make_shared<input_stages>(pieces_, executor_, input_.request, *input_.route,
-                                             input_.arrival + objective, deadline_);
+    const std::optional<relay::chosen_endpoint> likely = choose();
+    near_ = likely ? likely->failure_domain : shared_.settings.failure_domain;
+    const base::duration run = relay_.balancer.usual_time(service_, size()).value_or(unmeasured_run);
+    stage_plan plan{&input_.request, input_.route, input_.serving, near_, {}, {}};
+    plan.due = input_.arrival + objective - run;
+    plan.latest = deadline_ - run / 2;
+    stages_ = std::make_shared<input_stages>(pieces_, executor_, std::move(plan));
     const std::optional<relay::piece_failure> failure = co_await stages_->make();
     stages_took_ = now() - input_.arrival;
     if (departed_) {
@@ -115,6 +122,7 @@
     relay::endpoint_question question;
     question.service = service_;
     question.excluded = tried_;
+    question.near = near_;
     if (input_.route->has_prompts && input_.request.prompt) {
         question.affinity = input_.request.prompt->shared_part();
     }
--- a/packages/peer/include/rattanbay/peer/frame.hpp
+++ b/packages/peer/include/rattanbay/peer/frame.hpp
@@ -5,6 +5,7 @@
 #include <rattanbay/base/incarnation.hpp>
 #include <rattanbay/ledger/reply.hpp>
 #include <rattanbay/peer/member_record.hpp>
+#include <rattanbay/relay/call.hpp>
 #include <rattanbay/object_api/vm_list.hpp>
 
 #include <cstdint>
@@ -48,6 +49,34 @@
     ledger::reply reply;
 };
 
-using frame = std::variant<state_request, state_reply, forward_request, wrong_incarnation, forward_reply>;
+/// Asks the daemon that schedules a worker pool for all pieces of one stage. Times are relative, as
+/// clocks of daemons differ.
+struct make_pieces {
+    base::service_name service;
+    relay::stage_order order;
+    /// Where the results will be used.
+    base::failure_domain near;
+    /// Time until the pieces have to begin for the request to meet its objective; may be past.
+    std::int64_t due_ms = 0;
+    /// Time until the pieces are of no use.
+    std::int64_t latest_ms = 0;
+};
+
+/// Answers `make_pieces`, one result for each piece.
+struct pieces_made {
+    std::vector<relay::piece_result> results;
+};
+
+/// Tells the daemon that schedules a worker pool that results are no longer needed.
+struct release_pieces {
+    base::service_name service;
+    std::vector<std::string> handles;
+};
+
+/// The message was taken.
+struct accepted {};
+
+using frame = std::variant<state_request, state_reply, forward_request, wrong_incarnation, forward_reply,
+                           make_pieces, pieces_made, release_pieces, accepted>;
 
 } // namespace rattanbay::peer
--- a/packages/peer/src/codec.cpp
+++ b/packages/peer/src/codec.cpp
@@ -52,6 +52,19 @@
     void operator()(const wrong_incarnation&) const { internal::pack_all(out); }
 
     void operator()(const forward_reply& message) const { internal::pack_all(out, message.reply); }
+
+    void operator()(const make_pieces& message) const {
+        internal::pack_all(out, message.service, message.order, message.near, message.due_ms,
+                           message.latest_ms);
+    }
+
+    void operator()(const pieces_made& message) const { internal::pack_all(out, message.results); }
+
+    void operator()(const release_pieces& message) const {
+        internal::pack_all(out, message.service, message.handles);
+    }
+
+    void operator()(const accepted&) const { internal::pack_all(out); }
 };
 
 struct member_reader {
@@ -83,6 +96,19 @@
     void operator()(wrong_incarnation&) const {}
 
     void operator()(forward_reply& message) const { internal::read_all(from, message.reply); }
+
+    void operator()(make_pieces& message) const {
+        internal::read_all(from, message.service, message.order, message.near, message.due_ms,
+                           message.latest_ms);
+    }
+
+    void operator()(pieces_made& message) const { internal::read_all(from, message.results); }
+
+    void operator()(release_pieces& message) const {
+        internal::read_all(from, message.service, message.handles);
+    }
+
+    void operator()(accepted&) const {}
 };
 
 /// Authentication code, then an array of the message's type number and its members.
--- a/packages/peer/src/internal/wire.hpp
+++ b/packages/peer/src/internal/wire.hpp
@@ -157,6 +157,48 @@
         }
     };
 
+    template <> struct pack<rattanbay::relay::stage_order> {
+        template <class Stream>
+        packer<Stream>& operator()(packer<Stream>& out, const rattanbay::relay::stage_order& value) const {
+            wire::pack_all(out, value.call, value.stage, value.pieces, value.key, value.inputs,
+                           value.result_bytes);
+            return out;
+        }
+    };
+
+    template <> struct convert<rattanbay::relay::stage_order> {
+        const msgpack::object& operator()(const msgpack::object& from,
+                                          rattanbay::relay::stage_order& value) const {
+            wire::read_all(from, value.call, value.stage, value.pieces, value.key, value.inputs,
+                           value.result_bytes);
+            return from;
+        }
+    };
+
+    template <> struct pack<rattanbay::relay::piece_result> {
+        template <class Stream>
+        packer<Stream>& operator()(packer<Stream>& out, const rattanbay::relay::piece_result& value) const {
+            wire::pack_all(out, value.handle.value_or(std::string()),
+                           static_cast<std::uint8_t>(value.failure));
+            return out;
+        }
+    };
+
+    template <> struct convert<rattanbay::relay::piece_result> {
+        const msgpack::object& operator()(const msgpack::object& from,
+                                          rattanbay::relay::piece_result& value) const {
+            constexpr std::uint8_t failures = 4;
+            std::string handle;
+            std::uint8_t failure = 0;
+            wire::read_all(from, handle, failure);
+            value.failure = wire::to_enum<rattanbay::relay::piece_failure>(failure, failures);
+            if (!handle.empty()) {
+                value.handle = std::move(handle);
+            }
+            return from;
+        }
+    };
+
     template <> struct pack<rattanbay::ledger::reply> {
         template <class Stream>
         packer<Stream>& operator()(packer<Stream>& out, const rattanbay::ledger::reply& value) const {
--- a/packages/relay/include/rattanbay/relay.hpp
+++ b/packages/relay/include/rattanbay/relay.hpp
@@ -9,7 +9,7 @@
 /// - balancer.hpp: choice of an endpoint
 /// - call.hpp: a request as the relay sees it
 /// - event_splitter.hpp: events of a stream
-/// - piece_queue.hpp: batches of pieces for worker pools
+/// - piece_scheduler.hpp: calls with pieces for the endpoints of a worker pool
 /// - protocol.hpp: what the relay needs from a platform's protocol
 /// - resend_budget.hpp: share of the repeats that all daemons may make
 /// - route_table.hpp: routes by host and path
@@ -18,7 +18,7 @@
 #include <rattanbay/relay/balancer.hpp>
 #include <rattanbay/relay/call.hpp>
 #include <rattanbay/relay/event_splitter.hpp>
-#include <rattanbay/relay/piece_queue.hpp>
+#include <rattanbay/relay/piece_scheduler.hpp>
 #include <rattanbay/relay/protocol.hpp>
 #include <rattanbay/relay/resend_budget.hpp>
 #include <rattanbay/relay/route_table.hpp>
--- a/packages/relay/include/rattanbay/relay/balancer.hpp
+++ b/packages/relay/include/rattanbay/relay/balancer.hpp
@@ -8,6 +8,7 @@
 #include <rattanbay/object_api/vm_list.hpp>
 #include <rattanbay/relay/attempt_rules.hpp>
 #include <rattanbay/relay/call.hpp>
+#include <rattanbay/relay/piece_scheduler.hpp>
 
 #include <cstddef>
 #include <cstdint>
@@ -71,7 +72,14 @@
     bool is_usable(const base::endpoint_id& endpoint) const;
 
     /// Endpoints of the service that take work.
-    std::size_t usable_endpoints(const base::service_name& service) const;
+    std::vector<pool_endpoint> usable_endpoints(const base::service_name& service) const;
+
+    /// Number of lists that were published.
+    std::uint64_t generation() const;
+
+    /// Time to the answer or first event of a usual call of the service at its endpoints, or nothing
+    /// until some were measured.
+    std::optional<base::duration> usual_time(const base::service_name& service, double size) const;
 
 private:
     struct endpoint_state {
@@ -104,6 +112,7 @@
     base::random_source random_;
     std::map<base::endpoint_id, endpoint_state> endpoints_;
     std::map<base::service_name, std::vector<base::endpoint_id>> by_service_;
+    std::uint64_t generation_ = 0;
 };
 
 } // namespace rattanbay::relay
--- a/packages/relay/include/rattanbay/relay/call.hpp
+++ b/packages/relay/include/rattanbay/relay/call.hpp
@@ -106,6 +106,17 @@
     std::vector<std::string> inputs;
 };
 
+/// All pieces of one stage of a request; they have the same inputs.
+struct stage_order {
+    base::request_id call;
+    std::size_t stage = 0;
+    std::size_t pieces = 0;
+    std::string key;
+    std::vector<std::string> inputs;
+    /// Usual size of one result.
+    std::uint64_t result_bytes = 0;
+};
+
 /// Why a piece was not made.
 enum class piece_failure { late, input_gone, no_room, failed };
 
--- a/packages/relay/src/balancer.cpp
+++ b/packages/relay/src/balancer.cpp
@@ -61,6 +61,7 @@
         }
     }
     endpoints_ = std::move(next);
+    ++generation_;
 }
 
 double balancer::usual_call_ms(const std::vector<base::endpoint_id>& ids) const {
@@ -208,16 +209,34 @@
     return it != endpoints_.end() && it->second.listed.state == object_api::vm_state::live;
 }
 
-std::size_t balancer::usable_endpoints(const base::service_name& service) const {
+std::vector<pool_endpoint> balancer::usable_endpoints(const base::service_name& service) const {
     const std::lock_guard<std::mutex> lock(mutex_);
     const auto it = by_service_.find(service);
-    std::size_t count = 0;
+    std::vector<pool_endpoint> out;
     if (it != by_service_.end()) {
         for (const base::endpoint_id& id : it->second) {
-            count += endpoints_.at(id).listed.state == object_api::vm_state::live ? 1 : 0;
+            const object_api::vm& listed = endpoints_.at(id).listed;
+            if (listed.state == object_api::vm_state::live) {
+                out.push_back(pool_endpoint{id, listed.address, listed.failure_domain});
+            }
         }
     }
-    return count;
+    return out;
+}
+
+std::uint64_t balancer::generation() const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return generation_;
+}
+
+std::optional<base::duration> balancer::usual_time(const base::service_name& service, double size) const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const auto it = by_service_.find(service);
+    const double ms = it == by_service_.end() ? 0 : usual_call_ms(it->second);
+    if (ms <= 0) {
+        return std::nullopt;
+    }
+    return std::chrono::duration_cast<base::duration>(std::chrono::duration<double, std::milli>(ms * size));
 }
 
 } // namespace rattanbay::relay
