Begin stages when their results are needed, and let only full calls wait

Cause: the log line of each call to a pool showed calls with one piece while 40 waited. Results of 3 MB held the endpoints' room for the whole time of a longer chain beside them, and calls were queued at endpoints that had room for one piece only.

Change: a stage beside a longer chain begins when the rest of the chain takes no longer than the stage; a call waits at an endpoint only when it is full; each call writes a log line.

--- a/packages/daemon/src/input_stages.cpp
+++ b/packages/daemon/src/input_stages.cpp
@@ -14,6 +14,9 @@
 
 /// Usual time between daemons, and of the wait for a call, for each stage.
 constexpr std::chrono::milliseconds usual_overhead{30};
+/// How much earlier than necessary a stage begins whose results are needed only with those of a
+/// longer chain; results take up room at the endpoints that make them until they are used.
+constexpr std::chrono::milliseconds early_begin{150};
 
 } // namespace
 
@@ -52,6 +55,7 @@
 
 asio::awaitable<std::optional<relay::piece_failure>> input_stages::make() {
     const std::shared_ptr<input_stages> self = shared_from_this();
+    start_ = now();
     begin_ready_stages();
     while (!is_whole() && !failure_ && !stopped_) {
         if (now() >= plan_.latest) {
@@ -93,16 +97,28 @@
         const std::vector<std::size_t>& after = plan_.route->stages[n].after;
         const bool ready =
             std::ranges::all_of(after, [this](std::size_t needed) { return stages_[needed].made; });
-        if (!stages_[n].begun && !stages_[n].made && ready) {
+        if (!stages_[n].begun && !stages_[n].made && ready && is_time_for(n)) {
             begin(n);
         }
     }
 }
 
+bool input_stages::is_time_for(std::size_t stage) const {
+    base::duration others{};
+    for (std::size_t other = 0; other < stages_.size(); ++other) {
+        const bool open = other != stage && !stages_[other].made && !is_needed_by(stage, other);
+        if (open) {
+            others = std::max(others, stages_[other].own + stages_[other].rest);
+        }
+    }
+    return stages_[stage].own + stages_[stage].rest + early_begin >= others;
+}
+
 void input_stages::begin(std::size_t stage) {
     const config::relay_stage& settings = plan_.route->stages[stage];
     stage_state& state = stages_[stage];
     state.begun = true;
+    state.begin_time = now();
     stage_request request;
     request.service = settings.service;
     request.order.call = plan_.request->id;
@@ -129,6 +145,7 @@
     if (result) {
         stages_[stage].handles = *result;
         stages_[stage].made = true;
+        stages_[stage].end_time = now();
     } else if (!failure_) {
         failure_ = result.error();
     }
@@ -170,6 +187,22 @@
     return out;
 }
 
+std::string input_stages::times() const {
+    const auto ms = [this](const std::optional<base::time_point>& at) {
+        const base::duration since = at.value_or(start_) - start_;
+        const std::int64_t count = std::chrono::duration_cast<std::chrono::milliseconds>(since).count();
+        return at ? std::to_string(count) : std::string("-");
+    };
+    std::string out;
+    for (std::size_t n = 0; n < stages_.size(); ++n) {
+        if (stages_[n].pieces > 0) {
+            out += (out.empty() ? "" : " ") + std::to_string(n) + "x" + std::to_string(stages_[n].pieces) +
+                   ":" + ms(stages_[n].begin_time) + ".." + ms(stages_[n].end_time);
+        }
+    }
+    return out;
+}
+
 void input_stages::release() {
     stopped_ = true;
     for (std::size_t n = 0; n < stages_.size(); ++n) {
--- a/packages/daemon/src/internal/input_stages.hpp
+++ b/packages/daemon/src/internal/input_stages.hpp
@@ -40,6 +40,9 @@
     /// Results of the stages that no other stage needs.
     std::vector<std::string> inputs() const;
 
+    /// Milliseconds from the begin of `make` to the begin and the end of each stage, for the log.
+    std::string times() const;
+
     /// Gives all results up.
     void release();
 
@@ -49,6 +52,8 @@
         bool begun = false;
         bool made = false;
         std::vector<std::string> handles;
+        std::optional<base::time_point> begin_time;
+        std::optional<base::time_point> end_time;
         /// Time that the stage itself usually takes, and all that follow it.
         base::duration own{};
         base::duration rest{};
@@ -57,6 +62,9 @@
     void estimate_times();
     void begin_ready_stages();
     void begin(std::size_t stage);
+    /// Whether a stage whose inputs are there has to begin now, so that it does not hold the others
+    /// up.
+    bool is_time_for(std::size_t stage) const;
     bool is_needed_by(std::size_t stage, std::size_t other) const;
     bool is_needed(std::size_t stage) const;
     bool is_whole() const;
@@ -69,6 +77,7 @@
     stage_plan plan_;
     asio::steady_timer progress_;
     std::vector<stage_state> stages_;
+    base::time_point start_;
     std::optional<relay::piece_failure> failure_;
     bool stopped_ = false;
 };
--- a/packages/daemon/src/internal/piece_pool.hpp
+++ b/packages/daemon/src/internal/piece_pool.hpp
@@ -80,6 +80,8 @@
     void pump(const base::service_name& service);
     void wake_later(const base::service_name& service);
     asio::awaitable<void> call(base::service_name service, relay::piece_batch batch);
+    void log_call(const base::service_name& service, const relay::piece_batch& batch, relay::attempt_end end,
+                  base::time_point start, const std::string& detail);
     relay::attempt_end read_answer(const base::service_name& service, const relay::piece_batch& batch,
                                    const base::result<http::response>& answer, std::string& detail,
                                    std::vector<relay::held_result>& held);
--- a/packages/daemon/src/internal/relay_run.hpp
+++ b/packages/daemon/src/internal/relay_run.hpp
@@ -98,7 +98,6 @@
     bool streaming_ = false;
     bool departed_ = false;
     http::client_connection* active_ = nullptr;
-    std::optional<base::duration> stages_took_;
 };
 
 } // namespace rattanbay::daemon::internal
--- a/packages/daemon/src/piece_pool.cpp
+++ b/packages/daemon/src/piece_pool.cpp
@@ -185,21 +185,30 @@
     std::vector<relay::held_result> held;
     const relay::attempt_end end = read_answer(service, batch, answer, detail, held);
     lines_[service].scheduler.ended(batch.endpoint.id, end, held, now());
+    log_call(service, batch, end, start, detail);
     if (end != relay::attempt_end::answered) {
-        const double took = base::to_milliseconds(now() - start);
-        telemetry::log(telemetry::log_event::piece_call_failed,
-                       {{"request", batch.pieces.front().order.call.text()},
-                        {"service", service.text()},
-                        {"endpoint", batch.endpoint.id.text()},
-                        {"pieces", std::to_string(batch.pieces.size())},
-                        {"end", std::string(base::to_name(end))},
-                        {"took_ms", std::to_string(took)},
-                        {"detail", detail}});
         try_again(service, std::move(batch), end);
     }
     pump(service);
 }
 
+void piece_pool::log_call(const base::service_name& service, const relay::piece_batch& batch,
+                          relay::attempt_end end, base::time_point start, const std::string& detail) {
+    const relay::waiting_piece& first = batch.pieces.front();
+    const bool answered = end == relay::attempt_end::answered;
+    telemetry::log(answered ? telemetry::log_event::piece_call_ended : telemetry::log_event::piece_call_failed,
+                   {{"request", first.order.call.text()},
+                    {"stage", std::to_string(first.order.stage)},
+                    {"service", service.text()},
+                    {"endpoint", batch.endpoint.id.text()},
+                    {"pieces", std::to_string(batch.pieces.size())},
+                    {"still_waiting", std::to_string(lines_[service].scheduler.waiting())},
+                    {"end", std::string(base::to_name(end))},
+                    {"waited_ms", std::to_string(base::to_milliseconds(start - first.arrival))},
+                    {"took_ms", std::to_string(base::to_milliseconds(now() - start))},
+                    {"detail", detail}});
+}
+
 relay::attempt_end piece_pool::read_answer(const base::service_name& service, const relay::piece_batch& batch,
                                            const base::result<http::response>& answer, std::string& detail,
                                            std::vector<relay::held_result>& held) {
--- a/packages/daemon/src/relay_run.cpp
+++ b/packages/daemon/src/relay_run.cpp
@@ -95,7 +95,6 @@
     plan.latest = deadline_ - run / 2;
     stages_ = std::make_shared<input_stages>(pieces_, executor_, std::move(plan));
     const std::optional<relay::piece_failure> failure = co_await stages_->make();
-    stages_took_ = now() - input_.arrival;
     if (departed_) {
         log_end("abandoned");
         co_return false;
@@ -454,7 +453,7 @@
          {"attempts", std::to_string(tried_.size())},
          {"result", std::string(result)},
          {"took_ms", std::to_string(base::to_milliseconds(took))},
-         {"stages_ms", stages_took_ ? std::to_string(base::to_milliseconds(*stages_took_)) : ""},
+         {"stages_ms", stages_ ? stages_->times() : ""},
          {"left_ms", std::to_string(base::to_milliseconds(left()))},
          {"document", std::to_string(input_.serving->revision)},
          {"vm_list", std::to_string(shared_.vms.read()->version)}});
--- a/packages/relay/include/rattanbay/relay/piece_scheduler.hpp
+++ b/packages/relay/include/rattanbay/relay/piece_scheduler.hpp
@@ -113,9 +113,11 @@
 
     using place = std::pair<base::time_point, piece_ticket>;
 
+    std::size_t pieces_ahead(const waiting_piece& piece, base::time_point now) const;
     void forget_expired(base::time_point now);
     std::size_t free_calls(const endpoint_state& state) const;
-    bool may_take(const endpoint_state& state, const waiting_piece& piece, base::time_point now) const;
+    bool may_take(const endpoint_state& state, const waiting_piece& piece, std::uint64_t chosen_bytes,
+                  base::time_point now) const;
     std::vector<waiting_piece> take(endpoint_state& state, base::time_point now);
     base::duration call_time(std::size_t pieces) const;
     base::duration wait_behind(std::size_t pieces) const;
--- a/packages/relay/src/piece_scheduler.cpp
+++ b/packages/relay/src/piece_scheduler.cpp
@@ -7,9 +7,9 @@
 namespace {
 
 /// Results of at least this size are made where they are used if that takes no long wait.
-constexpr std::uint64_t large_result = 256 * 1024;
+constexpr std::uint64_t large_result = 50 * 1024;
 /// Longest wait of a large result for an endpoint near its use.
-constexpr std::chrono::milliseconds near_wait{120};
+constexpr std::chrono::milliseconds near_wait{60};
 /// How long an endpoint that has no room gets no work.
 constexpr std::chrono::milliseconds full_pause{100};
 /// Failures in a row from which an endpoint is ejected, and for how long.
@@ -50,15 +50,23 @@
 }
 
 bool piece_scheduler::add(waiting_piece piece, base::time_point now) {
-    const auto end = queue_.lower_bound(place(piece.due, 0));
-    const std::size_t ahead = static_cast<std::size_t>(std::distance(queue_.begin(), end));
-    if (now + wait_behind(ahead) > piece.latest) {
+    if (now + wait_behind(pieces_ahead(piece, now)) > piece.latest) {
         return false;
     }
     put_back(std::move(piece));
     return true;
 }
 
+std::size_t piece_scheduler::pieces_ahead(const waiting_piece& piece, base::time_point now) const {
+    const auto first_in_time = queue_.lower_bound(place(now, 0));
+    const auto own_place = queue_.lower_bound(place(piece.due, piece.ticket));
+    const auto count = [](auto from, auto to) { return static_cast<std::size_t>(std::distance(from, to)); };
+    if (piece.due >= now) {
+        return count(first_in_time, own_place);
+    }
+    return count(first_in_time, queue_.end()) + count(queue_.begin(), own_place);
+}
+
 void piece_scheduler::put_back(waiting_piece piece) {
     const place at(piece.due, piece.ticket);
     queue_.emplace(at, std::move(piece));
@@ -97,8 +105,8 @@
 }
 
 bool piece_scheduler::may_take(const endpoint_state& state, const waiting_piece& piece,
-                               base::time_point now) const {
-    const std::uint64_t used = state.reserved + state.held;
+                               std::uint64_t chosen_bytes, base::time_point now) const {
+    const std::uint64_t used = state.reserved + state.held + chosen_bytes;
     const std::uint64_t room = share_of(limits_.result_room_bytes, usable_room);
     // An endpoint that holds nothing takes one result of any size.
     if (room > 0 && used > 0 && used + piece.result_bytes > room) {
@@ -114,21 +122,30 @@
 }
 
 std::vector<waiting_piece> piece_scheduler::take(endpoint_state& state, base::time_point now) {
-    std::vector<waiting_piece> out;
     // Pieces in time first, in the order of their due times; then those that are late already.
-    for (const bool late : {false, true}) {
-        auto it = late ? queue_.begin() : queue_.lower_bound(place(now, 0));
-        const auto end = late ? queue_.lower_bound(place(now, 0)) : queue_.end();
-        while (it != end && out.size() < limits_.batch) {
-            if (!may_take(state, it->second, now)) {
-                ++it;
-                continue;
+    const auto first_in_time = queue_.lower_bound(place(now, 0));
+    std::vector<std::map<place, waiting_piece>::iterator> chosen;
+    std::uint64_t bytes = 0;
+    const auto choose_from = [&](auto it, auto end) {
+        for (; it != end && chosen.size() < limits_.batch; ++it) {
+            if (may_take(state, it->second, bytes, now)) {
+                bytes += it->second.result_bytes;
+                chosen.push_back(it);
             }
-            state.reserved += it->second.result_bytes;
-            out.push_back(std::move(it->second));
-            it = queue_.erase(it);
         }
+    };
+    choose_from(first_in_time, queue_.end());
+    choose_from(queue_.begin(), first_in_time);
+    // A call that only waits at the endpoint is worth sending when no further piece could join it.
+    if (state.calls >= limits_.slots && chosen.size() < limits_.batch) {
+        return {};
+    }
+    std::vector<waiting_piece> out;
+    for (const auto& it : chosen) {
+        out.push_back(std::move(it->second));
+        queue_.erase(it);
     }
+    state.reserved += bytes;
     return out;
 }
 
--- a/packages/telemetry/include/rattanbay/telemetry/log_event.hpp
+++ b/packages/telemetry/include/rattanbay/telemetry/log_event.hpp
@@ -42,6 +42,7 @@
     relay_attempt_failed = 5005,
     piece_call_failed = 5006,
     piece_scheduler_unreachable = 5007,
+    piece_call_ended = 5008,
     lines_dropped = 8001,
     history_lost = 3004,
     entries_unusable = 3005,
@@ -56,7 +57,7 @@
 };
 
 /// All log events, by number.
-constexpr std::array<log_event_row, 35> log_events{{
+constexpr std::array<log_event_row, 36> log_events{{
     {log_event::daemon_started, log_level::info, "The daemon listens on all its addresses."},
     {log_event::daemon_draining, log_level::info, "A planned stop began; the daemon leaves the entry lists."},
     {log_event::daemon_stopped, log_level::info, "The planned stop ended; no request was left open."},
@@ -98,6 +99,7 @@
     {log_event::piece_call_failed, log_level::info, "A call to a worker pool failed; its pieces wait again or are given up."},
     {log_event::piece_scheduler_unreachable, log_level::warning,
      "The daemon that schedules a worker pool gave no answer; this one schedules the pieces itself."},
+    {log_event::piece_call_ended, log_level::info, "A call to a worker pool was answered."},
     {log_event::lines_dropped, log_level::warning, "Log lines were dropped as they could not be written in time."},
     {log_event::history_lost, log_level::warning, "The platform no longer has the history of a watch; the state is read anew."},
     {log_event::entries_unusable, log_level::warning, "Entries of the VM list cannot be read or used and are left out."},
@@ -116,7 +118,7 @@
 };
 
 template <> struct rattanbay::base::enum_names<rattanbay::telemetry::log_event> {
-    static constexpr std::array<enum_name<telemetry::log_event>, 35> table{{
+    static constexpr std::array<enum_name<telemetry::log_event>, 36> table{{
         {telemetry::log_event::daemon_started, "daemon_started"},
         {telemetry::log_event::daemon_draining, "daemon_draining"},
         {telemetry::log_event::daemon_stopped, "daemon_stopped"},
@@ -148,6 +150,7 @@
         {telemetry::log_event::relay_attempt_failed, "relay_attempt_failed"},
         {telemetry::log_event::piece_call_failed, "piece_call_failed"},
         {telemetry::log_event::piece_scheduler_unreachable, "piece_scheduler_unreachable"},
+        {telemetry::log_event::piece_call_ended, "piece_call_ended"},
         {telemetry::log_event::lines_dropped, "lines_dropped"},
         {telemetry::log_event::history_lost, "history_lost"},
         {telemetry::log_event::entries_unusable, "entries_unusable"},
