Read the document and the list's version beside the watches

Cause: while the store forgets its history its watches hear nothing.

Change: the daemons read the configuration in turns, four times a second together, and list the VMs when the store has a later revision than their watch has shown.

--- a/packages/daemon/src/internal/state_keeper.hpp
+++ b/packages/daemon/src/internal/state_keeper.hpp
@@ -43,7 +43,10 @@
 
 private:
     asio::awaitable<void> watch_document();
+    base::duration read_period() const;
     asio::awaitable<void> read_document_periodically();
+    /// Reads the VM list when the watch has not brought it up to a version of the store.
+    asio::awaitable<void> read_missed_vms(std::uint64_t store_version);
     asio::awaitable<void> watch_vms();
     asio::awaitable<void> ask_seeds_at_start();
     asio::awaitable<bool> ask_peer(base::address peer_address);
--- a/packages/daemon/src/state_keeper.cpp
+++ b/packages/daemon/src/state_keeper.cpp
@@ -16,8 +16,14 @@
 
 /// Wait of one watch; with the margin of the adapter a silent one is noticed after 10 s.
 constexpr std::chrono::seconds watch_wait{8};
-/// Period of plain reads, which find what a watch missed.
-constexpr std::chrono::seconds read_period{20};
+/// Plain reads find what a watch missed. The daemons share them, as each tells the others of a new
+/// document: a read comes every `read_spacing` on the average, and every daemon makes one at least
+/// every `most_read_period`.
+constexpr std::chrono::milliseconds read_spacing{250};
+constexpr std::chrono::milliseconds least_read_period{1000};
+constexpr std::chrono::seconds most_read_period{20};
+/// Time that a watch may be behind a read.
+constexpr std::chrono::milliseconds watch_delay{300};
 constexpr std::chrono::milliseconds least_backoff{200};
 constexpr std::chrono::seconds most_backoff{10};
 constexpr std::chrono::seconds peer_limit{2};
@@ -121,15 +127,43 @@
     }
 }
 
+base::duration state_keeper::read_period() const {
+    const std::size_t members = shared_.members.read()->members.size();
+    const base::duration shared_period = read_spacing * static_cast<std::int64_t>(members);
+    return std::clamp<base::duration>(shared_period, least_read_period, most_read_period);
+}
+
 asio::awaitable<void> state_keeper::read_document_periodically() {
     while (true) {
-        const std::int64_t jitter =
-            static_cast<std::int64_t>(random_.below(base::duration(read_period).count() / 2));
-        co_await pause(read_period / 2 + base::duration(jitter));
-        const object_api::read_object request{config::document_object::key(shared_.settings.environment)};
+        const base::duration period = read_period();
+        const std::int64_t jitter = static_cast<std::int64_t>(random_.below(static_cast<std::uint64_t>(period.count())));
+        co_await pause(period / 2 + base::duration(jitter));
+        // A watch from the beginning is answered at once.
+        const object_api::watch_object request{config::document_object::key(shared_.settings.environment), 0, {}};
         const object_api::answer answer = co_await call(request);
         if (const object_api::object* object = std::get_if<object_api::object>(&answer)) {
+            const std::uint64_t store_version = object->store_version;
             offer(object->value);
+            co_await read_missed_vms(store_version);
+        }
+    }
+}
+
+asio::awaitable<void> state_keeper::read_missed_vms(std::uint64_t store_version) {
+    if (store_version <= directory_.version()) {
+        co_return;
+    }
+    co_await pause(watch_delay);
+    if (store_version <= directory_.version() || directory_.missing_part()) {
+        co_return;
+    }
+    directory_.lose_history();
+    while (directory_.missing_part()) {
+        const object_api::list_vms request{*directory_.missing_part()};
+        const object_api::answer answer = co_await call(request);
+        take_vm_answer(answer);
+        if (std::holds_alternative<object_api::failed>(answer)) {
+            co_return;
         }
     }
 }
--- a/packages/object_api/include/rattanbay/object_api/answer.hpp
+++ b/packages/object_api/include/rattanbay/object_api/answer.hpp
@@ -17,6 +17,9 @@
     std::uint64_t version = 0;
     /// JSON text.
     std::string value;
+    /// Version of the whole store when the object was read, for platforms with one version for all
+    /// objects; 0 when the platform has none.
+    std::uint64_t store_version = 0;
 };
 
 /// The write took effect; `version` is the object's new version.
@@ -54,6 +57,8 @@
     std::optional<std::string> next;
     /// Entries that were left out because they cannot be read or name no VM to use.
     std::size_t unusable = 0;
+    /// Name behind which this part begins; empty for the first one.
+    std::string after;
 };
 
 /// What changed in the VM list.
--- a/packages/object_api/src/vm_directory.cpp
+++ b/packages/object_api/src/vm_directory.cpp
@@ -21,7 +21,7 @@
 }
 
 void vm_directory::take(const vm_page& page, base::time_point now) {
-    if (!missing_part_) {
+    if (!missing_part_ || *missing_part_ != page.after) {
         return;
     }
     if (missing_part_->empty()) {
@@ -49,10 +49,14 @@
 
 void vm_directory::take(const vm_list& list, base::time_point now) {
     missing_part_ = "";
-    take(vm_page{list.version, list.vms, std::nullopt, 0}, now);
+    take(vm_page{list.version, list.vms, std::nullopt, 0, {}}, now);
 }
 
 void vm_directory::take(const vm_changes& changes, base::time_point now) {
+    // The list was read anew since the watch began.
+    if (changes.version < version_) {
+        return;
+    }
     for (const vm& listed : changes.changed) {
         put(listed);
     }
