Tests of the relay, the adapter and the VM directory

The settings allow a daemon among its own seeds, as all daemons share one list; the finding for a repeated seed names its place as before.

--- a/packages/config/src/settings.cpp
+++ b/packages/config/src/settings.cpp
@@ -72,10 +72,11 @@
 /// All daemons may share one list of seeds, so that a daemon may be a seed of itself.
 std::vector<base::address> read_seeds(object_reader& reader, const base::address& own, address_check& uses) {
     std::vector<base::address> out;
-    for (const std::optional<base::address>& value : reader.addresses("seed_peers", 0)) {
-        if (value && *value != own) {
-            uses.add(*value, reader.pointer_to("seed_peers"));
-            out.push_back(*value);
+    const std::vector<std::optional<base::address>> values = reader.addresses("seed_peers", 0);
+    for (std::size_t n = 0; n < values.size(); ++n) {
+        if (values[n] && *values[n] != own) {
+            uses.add(*values[n], internal::child_pointer(reader.pointer_to("seed_peers"), n));
+            out.push_back(*values[n]);
         }
     }
     return out;
--- /dev/null
+++ b/packages/config/test/relay_document_test.cpp
@@ -0,0 +1,89 @@
+#include "findings.hpp"
+
+#include <rattanbay/config.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+namespace config = rattanbay::config;
+namespace base = rattanbay::base;
+using nlohmann::json;
+
+namespace {
+
+json document() {
+    return json::parse(R"({
+      "revision": 7, "cost_weight": 0, "max_concurrent_requests": 100,
+      "relay": {
+        "keys_required": true,
+        "limits": {"header_bytes": 16384, "body_bytes": 1000, "header_arrival_ms": 3000, "idle_ms": 15000},
+        "services": [
+          {"name": "board", "max_connections": 360,
+           "pieces": {"slots": 1, "queue": 2, "batch": 8, "call_ms": 150, "piece_ms": 1.5,
+                      "result_room_bytes": 51000000, "result_lifetime_ms": 4000}},
+          {"name": "model", "max_connections": 360, "engine": {"batch": 64, "kv_tokens": 332768}}],
+        "routes": [
+          {"name": "draft", "host": "one.example", "path_prefix": "/draft/", "repeat": "resumable",
+           "streamed": true, "has_prompts": true, "timeout_ms": 5000, "objective_ms": 2000,
+           "longest_pause_ms": 300, "urgency": 1, "max_attempts": 2,
+           "targets": [{"service": "model", "weight": 1}],
+           "stages": [{"service": "board", "after": [], "result_bytes": 8000},
+                      {"service": "board", "after": [0], "result_bytes": 6000}]}],
+        "accounts": [{"name": "khi", "urgency": 0, "key_sha256": ["aa", "bb"]}]
+      }})");
+}
+
+config::checked<config::environment_document> parse(const json& value) {
+    return config::environment_document::parse(value.dump());
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(relay_document)
+
+// Guards against a member that is read into the wrong place.
+BOOST_AUTO_TEST_CASE(a_complete_document_is_read) {
+    const config::checked<config::environment_document> read = parse(document());
+    BOOST_REQUIRE_MESSAGE(read.has_value(), listed(read));
+    BOOST_REQUIRE(read->relay.has_value());
+    const config::relay_document& relay = *read->relay;
+    BOOST_REQUIRE(relay.routes.size() == 1U);
+    const config::relay_route& route = relay.routes.front();
+    BOOST_CHECK(route.repeat == config::repeat_rule::resumable);
+    BOOST_CHECK(route.objective == std::chrono::seconds(2));
+    BOOST_CHECK(route.longest_pause == std::chrono::milliseconds(300));
+    BOOST_TEST(route.max_attempts == 2U);
+    BOOST_TEST(route.stages.at(1).after.at(0) == 0U);
+    const config::piece_limits& pieces = *relay.services.at(base::service_name("board")).pieces;
+    BOOST_CHECK(pieces.piece_time == std::chrono::microseconds(1500));
+    BOOST_TEST(pieces.result_room_bytes == 51'000'000U);
+    BOOST_TEST(relay.services.at(base::service_name("model")).engine->kv_tokens == 332768U);
+    BOOST_TEST(relay.accounts_by_key.at("bb").name.text() == "khi");
+    BOOST_TEST(relay.accounts_by_key.at("aa").urgency.value() == 0);
+    BOOST_CHECK(relay.limits.idle == std::chrono::seconds(15));
+}
+
+// Guards against stages that wait for each other for good, and against routes and rules that mean
+// something else than their author thought.
+BOOST_AUTO_TEST_CASE(what_cannot_be_served_is_a_finding) {
+    json wrong = document();
+    wrong["relay"]["routes"][0]["stages"][0]["after"] = {1};
+    wrong["relay"]["routes"][0]["path_prefix"] = "/draft";
+    wrong["relay"]["routes"][0]["repeat"] = "sometimes";
+    wrong["relay"]["services"][0]["pieces"].erase("batch");
+    wrong["relay"]["unknown"] = 1;
+    const config::checked<config::environment_document> read = parse(wrong);
+    BOOST_REQUIRE(!read.has_value());
+    std::vector<std::string> pointers;
+    for (const config::finding& row : read.error()) {
+        pointers.push_back(row.pointer);
+    }
+    for (const char* expected :
+         {"/relay/routes/0/path_prefix", "/relay/routes/0/repeat", "/relay/routes/0/stages/0/after/0",
+          "/relay/services/0/pieces/batch", "/relay/unknown"}) {
+        BOOST_TEST((std::ranges::find(pointers, expected) != pointers.end()), expected);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/packages/daemon/test/installation.hpp
+++ b/packages/daemon/test/installation.hpp
@@ -264,6 +264,7 @@
         options.vm_list_lag = std::chrono::milliseconds(100);
         platform = rattanbay::emulator::platform_service::start(context_, options).value();
         adapter_.emplace(std::vector<rattanbay::base::address>{options.address},
+                         std::make_shared<rattanbay::object_api::object_protocol>(),
                          [](std::string_view, bool) {});
     }
 
--- a/packages/emulator/src/internal/platform_json.cpp
+++ b/packages/emulator/src/internal/platform_json.cpp
@@ -54,7 +54,16 @@
         return error_response(500, value.reason.message);
     }
 
+    /// The stand-in sends its list whole and keeps no history, so that it has none of the answers below.
+    http::response operator()(const object_api::history_lost&) const { return unsupported(); }
+
+    http::response operator()(const object_api::vm_page&) const { return unsupported(); }
+
+    http::response operator()(const object_api::vm_changes&) const { return unsupported(); }
+
 private:
+    static http::response unsupported() { return error_response(500, "not an answer of this platform"); }
+
     static http::response version_only(int status, std::uint64_t version) {
         return http::json_response(status, json{{"version", version}}.dump());
     }
@@ -80,7 +89,7 @@
     }
     return object_api::vm{base::vm_id(row["id"].get<std::string>()),
                         base::service_name(row["service"].get<std::string>()), *address,
-                        base::failure_domain(row["failure_domain"].get<std::string>()), *known};
+                        base::failure_domain(row["failure_domain"].get<std::string>()), *known, 0};
 }
 
 } // namespace
