--- a/packages/config/src/promotion.cpp
+++ b/packages/config/src/promotion.cpp
@@ -152,7 +152,8 @@
     return write();
 }
 
-publication_step document_publication::handle_written(const object_api::answer& answer, base::time_point now) {
+publication_step document_publication::handle_written(const object_api::answer& answer,
+                                                      base::time_point now) {
     if (std::holds_alternative<object_api::written>(answer)) {
         revision_in_force_ = document_.revision;
         return finish(publication_status::accepted, "");
--- a/packages/config/test/relay_document_test.cpp
+++ b/packages/config/test/relay_document_test.cpp
@@ -2,9 +2,8 @@
 
 #include <rattanbay/config.hpp>
 
-#include <nlohmann/json.hpp>
-
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
 
 namespace config = rattanbay::config;
 namespace base = rattanbay::base;
--- a/packages/ctl/src/stand_in_list.cpp
+++ b/packages/ctl/src/stand_in_list.cpp
@@ -60,8 +60,8 @@
     vm.service = base::service_name(row.at("service").get<std::string>());
     vm.failure_domain = base::failure_domain(row.at("failure_domain").get<std::string>());
     vm.address = base::address::parse(row.at("address").get<std::string>()).value_or(base::address{});
-    vm.state =
-        base::from_name<object_api::vm_state>(row.value("state", "live")).value_or(object_api::vm_state::live);
+    vm.state = base::from_name<object_api::vm_state>(row.value("state", "live"))
+                   .value_or(object_api::vm_state::live);
     return vm;
 }
 
--- a/packages/daemon/include/rattanbay/daemon/daemon.hpp
+++ b/packages/daemon/include/rattanbay/daemon/daemon.hpp
@@ -25,8 +25,8 @@
 public:
     /// Binds all addresses and starts. Errors: `unavailable` when an address cannot be bound,
     /// `invalid_input` when the settings are for a relay and `protocols` has none.
-    static base::result<std::unique_ptr<daemon>> start(config::settings settings,
-                                                       platform_protocols protocols = platform_protocols::own());
+    static base::result<std::unique_ptr<daemon>>
+    start(config::settings settings, platform_protocols protocols = platform_protocols::own());
 
     virtual ~daemon() = default;
 
--- a/packages/daemon/include/rattanbay/daemon/platform_client.hpp
+++ b/packages/daemon/include/rattanbay/daemon/platform_client.hpp
@@ -28,7 +28,8 @@
     using observer = std::function<void(std::string_view, bool)>;
 
     /// `addresses` is not empty and `protocol` not null.
-    platform_client(std::vector<base::address> addresses, std::shared_ptr<const object_api::object_protocol> protocol, observer observe);
+    platform_client(std::vector<base::address> addresses,
+                    std::shared_ptr<const object_api::object_protocol> protocol, observer observe);
 
     /// Time beyond a watch's wait after which its connection counts as silent.
     static constexpr std::chrono::seconds usual_limit{2};
@@ -36,7 +37,7 @@
     /// Makes a call; answered by `object_api::failed` when no usable answer comes within `limit`, for
     /// a watch within its wait and `limit`.
     asio::awaitable<object_api::answer> call(asio::any_io_executor executor, object_api::call request,
-                                           base::duration limit = usual_limit);
+                                             base::duration limit = usual_limit);
 
 private:
     std::vector<base::address> addresses_;
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -252,7 +252,8 @@
 
 base::result<std::unique_ptr<daemon>> daemon::start(config::settings settings, platform_protocols protocols) {
     if (settings.relay && !protocols.relay) {
-        return base::fail(base::error_code::invalid_input, "the settings are for a relay, whose protocol is missing");
+        return base::fail(base::error_code::invalid_input,
+                          "the settings are for a relay, whose protocol is missing");
     }
     std::unique_ptr<daemon_process> created =
         std::make_unique<daemon_process>(std::move(settings), std::move(protocols));
--- a/packages/daemon/src/input_stages.cpp
+++ b/packages/daemon/src/input_stages.cpp
@@ -38,8 +38,7 @@
 void input_stages::estimate_times() {
     for (std::size_t n = stages_.size(); n > 0; --n) {
         stage_state& state = stages_[n - 1];
-        const config::relay_service* const service =
-            plan_.serving->find(plan_.route->stages[n - 1].service);
+        const config::relay_service* const service = plan_.serving->find(plan_.route->stages[n - 1].service);
         if (state.pieces > 0 && service != nullptr && service->pieces) {
             const std::size_t together = std::min(state.pieces, service->pieces->batch);
             state.own = service->pieces->call_time +
--- a/packages/daemon/src/internal/piece_pool.hpp
+++ b/packages/daemon/src/internal/piece_pool.hpp
@@ -86,8 +86,7 @@
                                    const base::result<http::response>& answer, std::string& detail,
                                    std::vector<relay::held_result>& held);
     void take_results(const base::service_name& service, const relay::piece_batch& batch,
-                      const std::vector<relay::piece_result>& results,
-                      std::vector<relay::held_result>& held);
+                      const std::vector<relay::piece_result>& results, std::vector<relay::held_result>& held);
     void try_again(const base::service_name& service, relay::piece_batch batch, relay::attempt_end end);
     bool may_repeat(const base::service_name& service);
     void finish_piece(relay::piece_ticket ticket, const std::string& handle);
--- a/packages/daemon/src/peer_transport.cpp
+++ b/packages/daemon/src/peer_transport.cpp
@@ -177,7 +177,8 @@
         const peer::frame answer = co_await on_frame_(std::move(*message));
         const std::string bytes = peer::encode(answer, shared_.settings.cluster_secret);
         stream.expires_after(frame_limit);
-        co_await asio::async_write(stream, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, ec));
+        co_await asio::async_write(stream, asio::buffer(bytes),
+                                   asio::redirect_error(asio::use_awaitable, ec));
         if (ec) {
             co_return;
         }
@@ -198,9 +199,9 @@
     co_return stream;
 }
 
-asio::awaitable<base::result<peer::frame>>
-peer_transport::exchange_on(stream_ptr stream, base::address to, const peer::frame& message,
-                            base::duration limit) {
+asio::awaitable<base::result<peer::frame>> peer_transport::exchange_on(stream_ptr stream, base::address to,
+                                                                       const peer::frame& message,
+                                                                       base::duration limit) {
     const std::string bytes = peer::encode(message, shared_.settings.cluster_secret);
     error_code ec;
     stream->expires_after(std::min<base::duration>(frame_limit, limit));
--- a/packages/daemon/src/piece_pool.cpp
+++ b/packages/daemon/src/piece_pool.cpp
@@ -29,7 +29,8 @@
 
 /// Time within which a call ends, if a full call is ahead of it.
 base::duration call_limit(const config::piece_limits& pieces) {
-    const base::duration whole = pieces.call_time + pieces.piece_time * static_cast<std::int64_t>(pieces.batch);
+    const base::duration whole =
+        pieces.call_time + pieces.piece_time * static_cast<std::int64_t>(pieces.batch);
     return whole * 2 + call_margin;
 }
 
@@ -55,8 +56,8 @@
     for (std::size_t piece = 0; piece < request.order.pieces; ++piece) {
         relay::waiting_piece waiting;
         waiting.ticket = ++piece_tickets_;
-        waiting.order = relay::piece_order{
-            request.order.call, request.order.stage, piece, {}, request.order.key, request.order.inputs};
+        waiting.order = relay::piece_order{request.order.call, request.order.stage, piece, {},
+                                           request.order.key,  request.order.inputs};
         waiting.near = request.near;
         waiting.result_bytes = request.order.result_bytes;
         waiting.arrival = time;
@@ -142,8 +143,7 @@
     while (std::optional<relay::piece_batch> batch = here.scheduler.next(now())) {
         const std::shared_ptr<piece_pool> self = shared_from_this();
         asio::co_spawn(
-            strand_,
-            [self, service, next = std::move(*batch)]() { return self->call(service, next); },
+            strand_, [self, service, next = std::move(*batch)]() { return self->call(service, next); },
             asio::detached);
     }
     if (here.scheduler.needs_wakeup()) {
@@ -179,8 +179,8 @@
     http::exchange_limits limits;
     limits.head = lines_[service].call_limit;
     http::request message = relay_.protocol->write_pieces(orders, batch.endpoint.id);
-    const base::result<http::response> answer = co_await http::exchange(
-        strand_, relay_.pool, batch.endpoint.address, std::move(message), limits);
+    const base::result<http::response> answer =
+        co_await http::exchange(strand_, relay_.pool, batch.endpoint.address, std::move(message), limits);
     std::string detail;
     std::vector<relay::held_result> held;
     const relay::attempt_end end = read_answer(service, batch, answer, detail, held);
@@ -196,7 +196,8 @@
                           relay::attempt_end end, base::time_point start, const std::string& detail) {
     const relay::waiting_piece& first = batch.pieces.front();
     const bool answered = end == relay::attempt_end::answered;
-    telemetry::log(answered ? telemetry::log_event::piece_call_ended : telemetry::log_event::piece_call_failed,
+    telemetry::log(answered ? telemetry::log_event::piece_call_ended
+                            : telemetry::log_event::piece_call_failed,
                    {{"request", first.order.call.text()},
                     {"stage", std::to_string(first.order.stage)},
                     {"service", service.text()},
@@ -330,7 +331,9 @@
     for (const auto& row : due) {
         asio::co_spawn(
             strand_,
-            [self, holder = row.first, handles = row.second]() { return self->send_release(holder, handles); },
+            [self, holder = row.first, handles = row.second]() {
+                return self->send_release(holder, handles);
+            },
             asio::detached);
     }
 }
@@ -343,10 +346,9 @@
         co_await http::exchange(strand_, relay_.pool, holder, std::move(message), limits);
     if (!answer) {
         // The holder frees results by itself after their lifetime.
-        telemetry::log(telemetry::log_event::piece_call_failed,
-                       {{"endpoint_address", holder.text()},
-                        {"released", std::to_string(handles.size())},
-                        {"detail", answer.error().message}});
+        telemetry::log(telemetry::log_event::piece_call_failed, {{"endpoint_address", holder.text()},
+                                                                 {"released", std::to_string(handles.size())},
+                                                                 {"detail", answer.error().message}});
     }
 }
 
--- a/packages/daemon/src/platform_client.cpp
+++ b/packages/daemon/src/platform_client.cpp
@@ -5,7 +5,9 @@
 
 namespace rattanbay::daemon {
 
-platform_client::platform_client(std::vector<base::address> addresses, std::shared_ptr<const object_api::object_protocol> protocol, observer observe)
+platform_client::platform_client(std::vector<base::address> addresses,
+                                 std::shared_ptr<const object_api::object_protocol> protocol,
+                                 observer observe)
     : addresses_(std::move(addresses))
     , protocol_(std::move(protocol))
     , observe_(std::move(observe)) {
@@ -13,7 +15,7 @@
 }
 
 asio::awaitable<object_api::answer> platform_client::call(asio::any_io_executor executor,
-                                                         object_api::call request, base::duration limit) {
+                                                          object_api::call request, base::duration limit) {
     object_api::http_call prepared = protocol_->to_http(request);
     http::exchange_limits limits;
     limits.head = prepared.wait + limit;
--- a/packages/daemon/src/relay_handler.cpp
+++ b/packages/daemon/src/relay_handler.cpp
@@ -63,18 +63,16 @@
     }
     input.route = input.serving->routes->find(input.request.host, input.request.path);
     if (input.route == nullptr || input.route->targets.empty()) {
-        http::response answer =
-            refusal(input.request.id, base::problem_kind::unknown_pipeline,
-                    "no route for '" + input.request.host + input.request.path + "' in revision " +
-                        std::to_string(input.serving->revision));
+        http::response answer = refusal(input.request.id, base::problem_kind::unknown_pipeline,
+                                        "no route for '" + input.request.host + input.request.path +
+                                            "' in revision " + std::to_string(input.serving->revision));
         co_await out.send(std::move(answer));
         co_return;
     }
     input.urgency = input.route->urgency;
     const config::relay_document& document = input.serving->routes->document();
     if (document.keys_required) {
-        const auto account =
-            document.accounts_by_key.find(base::sha256_hex(input.request.key.value_or("")));
+        const auto account = document.accounts_by_key.find(base::sha256_hex(input.request.key.value_or("")));
         const bool known = input.request.key && account != document.accounts_by_key.end();
         if (!known && !input.route->is_public) {
             http::response answer = refusal(input.request.id, base::problem_kind::unauthenticated,
--- a/packages/daemon/src/relay_run.cpp
+++ b/packages/daemon/src/relay_run.cpp
@@ -180,17 +180,16 @@
                           time);
     tried_.push_back(current.endpoint.id);
     if (end != relay::attempt_end::answered) {
-        telemetry::log(
-            telemetry::log_event::relay_attempt_failed,
-            {{"request", input_.request.id.text()},
-             {"endpoint", current.endpoint.id.text()},
-             {"address", current.endpoint.address.text()},
-             {"end", std::string(base::to_name(end))},
-             {"reused_connection", current.reused ? "true" : "false"},
-             {"attempt", std::to_string(tried_.size())},
-             {"took_ms", std::to_string(base::to_milliseconds(time - current.start))},
-             {"left_ms", std::to_string(base::to_milliseconds(left()))},
-             {"detail", current.detail}});
+        telemetry::log(telemetry::log_event::relay_attempt_failed,
+                       {{"request", input_.request.id.text()},
+                        {"endpoint", current.endpoint.id.text()},
+                        {"address", current.endpoint.address.text()},
+                        {"end", std::string(base::to_name(end))},
+                        {"reused_connection", current.reused ? "true" : "false"},
+                        {"attempt", std::to_string(tried_.size())},
+                        {"took_ms", std::to_string(base::to_milliseconds(time - current.start))},
+                        {"left_ms", std::to_string(base::to_milliseconds(left()))},
+                        {"detail", current.detail}});
     }
 }
 
@@ -297,8 +296,8 @@
     co_return co_await pass_whole(current, head, out);
 }
 
-asio::awaitable<relay::attempt_end>
-relay_run::pass_whole(attempt& current, const relay::answer_head& head, http::responder& out) {
+asio::awaitable<relay::attempt_end> relay_run::pass_whole(attempt& current, const relay::answer_head& head,
+                                                          http::responder& out) {
     base::result<std::string> body = co_await http::read_body(*current.connection, left(), most_answer_bytes);
     if (!body) {
         co_return failed(current, body.error());
@@ -351,8 +350,8 @@
     co_return std::nullopt;
 }
 
-asio::awaitable<relay::attempt_end>
-relay_run::pass_stream(attempt& current, const relay::answer_head& head, http::responder& out) {
+asio::awaitable<relay::attempt_end> relay_run::pass_stream(attempt& current, const relay::answer_head& head,
+                                                           http::responder& out) {
     splitter_ = relay::event_splitter();
     while (true) {
         const base::duration limit = current.first_byte ? silence_limit() : attempt_limit();
@@ -443,20 +442,19 @@
 
 void relay_run::log_end(std::string_view result) {
     const base::duration took = now() - input_.arrival;
-    telemetry::log(
-        telemetry::log_event::relay_ended,
-        {{"request", input_.request.id.text()},
-         {"route", input_.route->name},
-         {"service", service_.text()},
-         {"account", input_.account ? input_.account->text() : ""},
-         {"endpoint", tried_.empty() ? "" : tried_.back().text()},
-         {"attempts", std::to_string(tried_.size())},
-         {"result", std::string(result)},
-         {"took_ms", std::to_string(base::to_milliseconds(took))},
-         {"stages_ms", stages_ ? stages_->times() : ""},
-         {"left_ms", std::to_string(base::to_milliseconds(left()))},
-         {"document", std::to_string(input_.serving->revision)},
-         {"vm_list", std::to_string(shared_.vms.read()->version)}});
+    telemetry::log(telemetry::log_event::relay_ended,
+                   {{"request", input_.request.id.text()},
+                    {"route", input_.route->name},
+                    {"service", service_.text()},
+                    {"account", input_.account ? input_.account->text() : ""},
+                    {"endpoint", tried_.empty() ? "" : tried_.back().text()},
+                    {"attempts", std::to_string(tried_.size())},
+                    {"result", std::string(result)},
+                    {"took_ms", std::to_string(base::to_milliseconds(took))},
+                    {"stages_ms", stages_ ? stages_->times() : ""},
+                    {"left_ms", std::to_string(base::to_milliseconds(left()))},
+                    {"document", std::to_string(input_.serving->revision)},
+                    {"vm_list", std::to_string(shared_.vms.read()->version)}});
     shared_.metrics.request_ended(base::pipeline_name(input_.route->name), result, took);
 }
 
--- a/packages/daemon/src/state_keeper.cpp
+++ b/packages/daemon/src/state_keeper.cpp
@@ -136,10 +136,12 @@
 asio::awaitable<void> state_keeper::read_document_periodically() {
     while (true) {
         const base::duration period = read_period();
-        const std::int64_t jitter = static_cast<std::int64_t>(random_.below(static_cast<std::uint64_t>(period.count())));
+        const std::int64_t jitter =
+            static_cast<std::int64_t>(random_.below(static_cast<std::uint64_t>(period.count())));
         co_await pause(period / 2 + base::duration(jitter));
         // A watch from the beginning is answered at once.
-        const object_api::watch_object request{config::document_object::key(shared_.settings.environment), 0, {}};
+        const object_api::watch_object request{
+            config::document_object::key(shared_.settings.environment), 0, {}};
         const object_api::answer answer = co_await call(request);
         if (const object_api::object* object = std::get_if<object_api::object>(&answer)) {
             const std::uint64_t store_version = object->store_version;
@@ -209,7 +211,8 @@
         directory_.advance(same->version);
         return;
     } else if (std::holds_alternative<object_api::history_lost>(answer)) {
-        telemetry::log(telemetry::log_event::history_lost, {{"version", std::to_string(directory_.version())}});
+        telemetry::log(telemetry::log_event::history_lost,
+                       {{"version", std::to_string(directory_.version())}});
         directory_.lose_history();
         return;
     } else {
--- a/packages/daemon/test/installation.hpp
+++ b/packages/daemon/test/installation.hpp
@@ -70,7 +70,7 @@
             rattanbay::config::environment_document::parse(document_text(revision)).value();
         const rattanbay::config::document_object object = rattanbay::config::document_object::of(document);
         rattanbay::object_api::write_object write{rattanbay::config::document_object::key("production"),
-                                                document_version_, object.value()};
+                                                  document_version_, object.value()};
         const rattanbay::object_api::answer answer = call(write);
         document_version_ = std::get<rattanbay::object_api::written>(answer).version;
     }
@@ -199,7 +199,8 @@
         using rattanbay::object_api::vm;
         std::vector<vm> vms;
         const auto add = [&vms](const std::string& service, std::size_t n,
-                                const rattanbay::base::address& where, rattanbay::object_api::vm_state state) {
+                                const rattanbay::base::address& where,
+                                rattanbay::object_api::vm_state state) {
             const std::string domain(1, static_cast<char>('a' + n % 3));
             vms.push_back(vm{rattanbay::base::vm_id(service + "-" + std::to_string(n)),
                              rattanbay::base::service_name(service), where,
--- a/packages/emulator/src/internal/platform_json.cpp
+++ b/packages/emulator/src/internal/platform_json.cpp
@@ -26,7 +26,9 @@
 
     http::response operator()(const object_api::deleted&) const { return http::json_response(200, "{}"); }
 
-    http::response operator()(const object_api::absent&) const { return error_response(404, "no such object"); }
+    http::response operator()(const object_api::absent&) const {
+        return error_response(404, "no such object");
+    }
 
     http::response operator()(const object_api::unchanged&) const { return http::response{204, {}, ""}; }
 
@@ -88,8 +90,11 @@
                           "'state' of a VM has to be \"live\" or \"leaving\"");
     }
     return object_api::vm{base::vm_id(row["id"].get<std::string>()),
-                        base::service_name(row["service"].get<std::string>()), *address,
-                        base::failure_domain(row["failure_domain"].get<std::string>()), *known, 0};
+                          base::service_name(row["service"].get<std::string>()),
+                          *address,
+                          base::failure_domain(row["failure_domain"].get<std::string>()),
+                          *known,
+                          0};
 }
 
 } // namespace
--- a/packages/emulator/test/object_store_test.cpp
+++ b/packages/emulator/test/object_store_test.cpp
@@ -29,8 +29,10 @@
     BOOST_TEST(std::holds_alternative<object_api::absent>(store.write({key, 1, "1"}, start)));
     const object_api::answer created = store.write({key, std::nullopt, "1"}, start);
     const std::uint64_t version = std::get<object_api::written>(created).version;
-    BOOST_TEST(std::get<object_api::conflict>(store.write({key, std::nullopt, "2"}, start)).version == version);
-    BOOST_TEST(std::get<object_api::conflict>(store.write({key, version + 1, "2"}, start)).version == version);
+    BOOST_TEST(std::get<object_api::conflict>(store.write({key, std::nullopt, "2"}, start)).version ==
+               version);
+    BOOST_TEST(std::get<object_api::conflict>(store.write({key, version + 1, "2"}, start)).version ==
+               version);
     BOOST_TEST(value_at(store, key, start) == "1");
     BOOST_TEST(std::holds_alternative<object_api::written>(store.write({key, version, "2"}, start)));
     BOOST_TEST(value_at(store, key, start) == "2");
@@ -58,7 +60,8 @@
 BOOST_AUTO_TEST_CASE(earlier_states_can_be_read) {
     emulator::object_store store(10s);
     const object_api::object_key key{"a", "x"};
-    std::uint64_t version = std::get<object_api::written>(store.write({key, std::nullopt, "0"}, start)).version;
+    std::uint64_t version =
+        std::get<object_api::written>(store.write({key, std::nullopt, "0"}, start)).version;
     for (int n = 1; n <= 20; ++n) {
         const object_api::answer done = store.write({key, version, std::to_string(n)}, start + n * 1s);
         version = std::get<object_api::written>(done).version;
--- a/packages/http/src/client_connection.cpp
+++ b/packages/http/src/client_connection.cpp
@@ -146,8 +146,7 @@
             }
         }
         // Bytes behind the response belong to no request of ours: the connection is out of step.
-        reusable_ =
-            parser_->keep_alive() && buffer_.size() == 0 && !link_->writing && !link_->write_failed;
+        reusable_ = parser_->keep_alive() && buffer_.size() == 0 && !link_->writing && !link_->write_failed;
         co_return std::string();
     }
 
--- a/packages/http/src/client_pool.cpp
+++ b/packages/http/src/client_pool.cpp
@@ -29,8 +29,7 @@
 
 } // namespace
 
-std::unique_ptr<client_connection> client_pool::take(const base::address& address,
-                                                     base::duration most_idle) {
+std::unique_ptr<client_connection> client_pool::take(const base::address& address, base::duration most_idle) {
     const std::chrono::steady_clock::time_point now = std::chrono::steady_clock::now();
     const std::lock_guard<std::mutex> lock(mutex_);
     const auto it = idle_.find(address);
--- a/packages/http/test/server_test.cpp
+++ b/packages/http/test/server_test.cpp
@@ -123,4 +123,67 @@
     BOOST_CHECK(refused.error().code == base::error_code::connection_refused);
 }
 
+// Guards against a field that one reader takes for the continuation of the field before and another
+// one for a field of its own.
+BOOST_AUTO_TEST_CASE(folded_header_lines_are_rejected) {
+    loopback_server fixture(echo, plain_rejection, {});
+    const std::string folded = "GET / HTTP/1.1\r\nHost: a\r\nX-One: a\r\n Content-Length: 5\r\n\r\n";
+    BOOST_TEST(raw_exchange(fixture.address, folded).starts_with("HTTP/1.1 400"));
+    const std::string tabbed = "GET / HTTP/1.1\r\nHost: a\r\nX-One: a\r\n\tb\r\n\r\n";
+    BOOST_TEST(raw_exchange(fixture.address, tabbed).starts_with("HTTP/1.1 400"));
+}
+
+// Guards against a client that sends its header byte by byte and holds a connection for as long as a
+// large body may take.
+BOOST_AUTO_TEST_CASE(a_header_that_does_not_arrive_is_rejected_in_its_own_time) {
+    http::server_limits limits;
+    limits.header_arrival = 100ms;
+    limits.arrival = 10s;
+    loopback_server fixture(echo, plain_rejection, limits);
+    const std::chrono::steady_clock::time_point start = std::chrono::steady_clock::now();
+    BOOST_TEST(raw_exchange(fixture.address, "GET / HTTP/1.1\r\nHost: a\r\n").starts_with("HTTP/1.1 400"));
+    BOOST_TEST((std::chrono::steady_clock::now() - start < 2s));
+}
+
+// Guards against limits that stay as they were when the server was started.
+BOOST_AUTO_TEST_CASE(limits_may_change) {
+    loopback_server fixture(echo, plain_rejection, {});
+    const std::string body = "POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 65\r\n\r\n" +
+                             std::string(65, 'x');
+    BOOST_TEST(raw_exchange(fixture.address, body).starts_with("HTTP/1.1 200"));
+    http::server_limits limits;
+    limits.body_bytes = 64;
+    fixture.server->set_limits(limits);
+    BOOST_TEST(raw_exchange(fixture.address, body).starts_with("HTTP/1.1 413"));
+}
+
+// Guards against a stopping server that keeps connections open for further requests.
+BOOST_AUTO_TEST_CASE(connections_end_after_the_response_at_hand) {
+    loopback_server fixture(echo, plain_rejection, {});
+    fixture.server->end_keep_alive();
+    const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    const std::string answer = raw_exchange(fixture.address, request);
+    BOOST_TEST(answer.starts_with("HTTP/1.1 200"));
+    BOOST_TEST(answer.find("Connection: close") != std::string::npos);
+}
+
+// Guards against a second request on a connection that is lost because it came while the first one
+// was handled.
+BOOST_AUTO_TEST_CASE(a_request_that_comes_early_is_kept) {
+    loopback_server fixture(
+        [](const http::request& message, http::responder& out) -> asio::awaitable<void> {
+            out.on_departure([]() {});
+            asio::steady_timer timer(co_await asio::this_coro::executor, 50ms);
+            co_await timer.async_wait(asio::use_awaitable);
+            http::response answer = http::json_response(200, message.target);
+            co_await out.send(std::move(answer));
+        },
+        plain_rejection, {});
+    const std::string both = "GET /one HTTP/1.1\r\nHost: a\r\n\r\n"
+                             "GET /two HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+    const std::string answers = raw_exchange(fixture.address, both);
+    BOOST_TEST(answers.find("/one") < answers.find("/two"));
+    BOOST_TEST(answers.find("/two") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/ledger/benchmark/ledger_benchmark.cpp
+++ b/packages/ledger/benchmark/ledger_benchmark.cpp
@@ -90,7 +90,8 @@
         const object_api::answer first =
             store.apply(object_api::write_object{object, std::nullopt, body + "}"}, {});
         const std::string whole = body + R"(,"s":200,"a":")" + std::string(answer_bytes, 'a') + R"("})";
-        store.apply(object_api::write_object{object, std::get<object_api::written>(first).version, whole}, {});
+        store.apply(object_api::write_object{object, std::get<object_api::written>(first).version, whole},
+                    {});
     }
     const double latency = base::to_milliseconds(test::single_owner::platform_time);
     return {static_cast<double>(store.writes()) / 60,
--- a/packages/ledger/src/internal/group_committer.cpp
+++ b/packages/ledger/src/internal/group_committer.cpp
@@ -95,7 +95,8 @@
     seal_asked_ = true;
 }
 
-std::optional<object_api::call> group_committer::next_call(base::time_point now, base::random_source& random) {
+std::optional<object_api::call> group_committer::next_call(base::time_point now,
+                                                           base::random_source& random) {
     if (now < due()) {
         return std::nullopt;
     }
@@ -166,12 +167,13 @@
         joined += joined.empty() ? "" : ",";
         joined += it.text;
     }
-    return object_api::write_object{segment_key(ledger_, next_segment_), std::nullopt, encode_segment(joined)};
+    return object_api::write_object{segment_key(ledger_, next_segment_), std::nullopt,
+                                    encode_segment(joined)};
 }
 
 object_api::call group_committer::delete_call() {
     return object_api::delete_object{segment_key(ledger_, deletable_.front()),
-                                   segment_versions_[deletable_.front()]};
+                                     segment_versions_[deletable_.front()]};
 }
 
 void group_committer::answered(const object_api::answer& given, base::time_point now,
--- a/packages/ledger/test/fake_platform.hpp
+++ b/packages/ledger/test/fake_platform.hpp
@@ -92,7 +92,7 @@
     }
 
     object_api::answer apply_read(const object_api::read_object& read,
-                                std::optional<std::uint64_t> old_copy) const {
+                                  std::optional<std::uint64_t> old_copy) const {
         const auto it = objects_.find(read.key);
         if (it == objects_.end()) {
             return object_api::absent{};
--- a/packages/ledger/test/single_owner.hpp
+++ b/packages/ledger/test/single_owner.hpp
@@ -117,8 +117,8 @@
             commits_.push_back(now_);
         }
         const object_api::answer given = platform_down_
-                                           ? object_api::failed{{base::error_code::unavailable, "down"}}
-                                           : platform_.apply(call.request, std::nullopt);
+                                             ? object_api::failed{{base::error_code::unavailable, "down"}}
+                                             : platform_.apply(call.request, std::nullopt);
         push(platform_time, call_answered{call.call, given});
     }
 
--- a/packages/membership/test/entry_selection_test.cpp
+++ b/packages/membership/test/entry_selection_test.cpp
@@ -61,4 +61,20 @@
     }
 }
 
+// Guards against connections between failure domains while daemons beside the caller take requests,
+// and against a caller that knows one daemon only and is lost with it.
+BOOST_AUTO_TEST_CASE(callers_use_their_failure_domain_when_it_has_two_daemons) {
+    std::vector<peer::member_record> members;
+    members.reserve(5);
+    for (int n = 0; n < 5; ++n) {
+        members.push_back(member("entry-" + std::to_string(n), 0));
+        members.back().failure_domain = base::failure_domain(n < 2 ? "a" : n < 4 ? "b" : "c");
+    }
+    base::random_source random(3);
+    BOOST_TEST(membership::select_near_entries(members, base::failure_domain("a"), random).size() == 2U);
+    BOOST_TEST(membership::select_near_entries(members, base::failure_domain("c"), random).size() == 5U);
+    members[0].draining = true;
+    BOOST_TEST(membership::select_near_entries(members, base::failure_domain("a"), random).size() == 4U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/object_api/include/rattanbay/object_api/call.hpp
+++ b/packages/object_api/include/rattanbay/object_api/call.hpp
@@ -66,7 +66,7 @@
     base::duration wait{};
 };
 
-using call = std::variant<read_object, write_object, delete_object, list_objects, watch_object, list_vms,
-                          watch_vms>;
+using call =
+    std::variant<read_object, write_object, delete_object, list_objects, watch_object, list_vms, watch_vms>;
 
 } // namespace rattanbay::object_api
--- a/packages/object_api/test/http_mapping_test.cpp
+++ b/packages/object_api/test/http_mapping_test.cpp
@@ -21,7 +21,7 @@
 const object_api::call watch_call = object_api::watch_object{key, 4, 2500ms};
 const object_api::call vms_call = object_api::watch_vms{4, 2500ms};
 const std::vector<object_api::call> all_calls{read_call, write_call, create_call, delete_call,
-                                            list_call, watch_call, vms_call};
+                                              list_call, watch_call, vms_call};
 
 object_api::answer answer_to(const object_api::call& call, int status, const std::string& body) {
     return object_api::to_answer(call, http::json_response(status, body));
--- a/packages/object_api/test/vm_directory_test.cpp
+++ b/packages/object_api/test/vm_directory_test.cpp
@@ -50,8 +50,9 @@
 
 // Guards against changes that are lost, or that come back after a later list.
 BOOST_FIXTURE_TEST_CASE(changes_apply_in_order, listed) {
-    directory.take(object_api::vm_changes{12, {named("b", object_api::vm_state::leaving)}, {base::vm_id("a")}, 0},
-                   at_ms(0));
+    directory.take(
+        object_api::vm_changes{12, {named("b", object_api::vm_state::leaving)}, {base::vm_id("a")}, 0},
+        at_ms(0));
     BOOST_TEST(names(directory) == "b- c ");
     directory.take(object_api::vm_changes{11, {named("b")}, {}, 0}, at_ms(0));
     BOOST_TEST(names(directory) == "b- c ");
--- a/packages/peer/include/rattanbay/peer/frame.hpp
+++ b/packages/peer/include/rattanbay/peer/frame.hpp
@@ -4,9 +4,9 @@
 #include <rattanbay/base/identifier.hpp>
 #include <rattanbay/base/incarnation.hpp>
 #include <rattanbay/ledger/reply.hpp>
+#include <rattanbay/object_api/vm_list.hpp>
 #include <rattanbay/peer/member_record.hpp>
 #include <rattanbay/relay/call.hpp>
-#include <rattanbay/object_api/vm_list.hpp>
 
 #include <cstdint>
 #include <string>
--- a/packages/peer/src/internal/wire.hpp
+++ b/packages/peer/src/internal/wire.hpp
@@ -142,15 +142,18 @@
         template <class Stream>
         packer<Stream>& operator()(packer<Stream>& out, const rattanbay::object_api::vm& value) const {
             const bool leaving = value.state == rattanbay::object_api::vm_state::leaving;
-            wire::pack_all(out, value.id, value.service, value.address, value.failure_domain, leaving, value.slots);
+            wire::pack_all(out, value.id, value.service, value.address, value.failure_domain, leaving,
+                           value.slots);
             return out;
         }
     };
 
     template <> struct convert<rattanbay::object_api::vm> {
-        const msgpack::object& operator()(const msgpack::object& from, rattanbay::object_api::vm& value) const {
+        const msgpack::object& operator()(const msgpack::object& from,
+                                          rattanbay::object_api::vm& value) const {
             bool leaving = false;
-            wire::read_all(from, value.id, value.service, value.address, value.failure_domain, leaving, value.slots);
+            wire::read_all(from, value.id, value.service, value.address, value.failure_domain, leaving,
+                           value.slots);
             value.state =
                 leaving ? rattanbay::object_api::vm_state::leaving : rattanbay::object_api::vm_state::live;
             return from;
--- a/packages/peer/test/codec_test.cpp
+++ b/packages/peer/test/codec_test.cpp
@@ -6,6 +6,7 @@
 namespace ledger = rattanbay::ledger;
 namespace peer = rattanbay::peer;
 namespace object_api = rattanbay::object_api;
+namespace relay = rattanbay::relay;
 
 namespace {
 
@@ -57,10 +58,10 @@
     const peer::state_reply state{"{}",
                                   {3,
                                    {object_api::vm{base::vm_id("e"),
-                                                 base::service_name("s"),
-                                                 {{127, 0, 0, 1}, 80},
-                                                 base::failure_domain("b"),
-                                                 object_api::vm_state::leaving}}},
+                                                   base::service_name("s"),
+                                                   {{127, 0, 0, 1}, 80},
+                                                   base::failure_domain("b"),
+                                                   object_api::vm_state::leaving}}},
                                   {sample_record(4)}};
     const base::result<peer::frame> copy =
         peer::decode_frame(peer::encode(peer::frame(state), secret).substr(4), secret);
@@ -94,4 +95,39 @@
     BOOST_TEST(!peer::decode_datagram(frame.substr(4), secret).has_value());
 }
 
+// Guards against a member of the messages about pieces being lost or swapped on the wire.
+BOOST_AUTO_TEST_CASE(messages_about_pieces_survive_the_wire) {
+    peer::make_pieces sent;
+    sent.service = base::service_name("board");
+    sent.order = {base::request_id("r1"), 2, 3, "key", {"h1", "h2"}, 6000};
+    sent.near = base::failure_domain("b");
+    sent.due_ms = -5;
+    sent.latest_ms = 900;
+    const std::string bytes = peer::encode(peer::frame(sent), secret);
+    const base::result<peer::frame> frame = peer::decode_frame(bytes.substr(4), secret);
+    BOOST_REQUIRE(frame.has_value());
+    const peer::make_pieces& read = std::get<peer::make_pieces>(*frame);
+    BOOST_TEST(read.service.text() == "board");
+    BOOST_TEST(read.order.call.text() == "r1");
+    BOOST_TEST(read.order.stage == 2U);
+    BOOST_TEST(read.order.pieces == 3U);
+    BOOST_TEST(read.order.key == "key");
+    BOOST_TEST(read.order.inputs == sent.order.inputs, boost::test_tools::per_element());
+    BOOST_TEST(read.order.result_bytes == 6000U);
+    BOOST_TEST(read.near.text() == "b");
+    BOOST_TEST(read.due_ms == -5);
+    BOOST_TEST(read.latest_ms == 900);
+
+    const peer::pieces_made made{
+        {{"h3", relay::piece_failure::failed}, {std::nullopt, relay::piece_failure::input_gone}}};
+    const std::string answer = peer::encode(peer::frame(made), secret);
+    const base::result<peer::frame> results = peer::decode_frame(answer.substr(4), secret);
+    BOOST_REQUIRE(results.has_value());
+    const peer::pieces_made& back = std::get<peer::pieces_made>(*results);
+    BOOST_REQUIRE(back.results.size() == 2U);
+    BOOST_TEST(back.results[0].handle.value() == "h3");
+    BOOST_TEST(!back.results[1].handle.has_value());
+    BOOST_CHECK(back.results[1].failure == relay::piece_failure::input_gone);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/relay/test/balancer_test.cpp
+++ b/packages/relay/test/balancer_test.cpp
@@ -15,7 +15,8 @@
     three_endpoints()
         : balancer(base::failure_domain("a"), 1) {
         list.version = 1;
-        list.vms = {make_vm("e1", "desk", "a", 1), make_vm("e2", "desk", "b", 2), make_vm("e3", "desk", "c", 3)};
+        list.vms = {make_vm("e1", "desk", "a", 1), make_vm("e2", "desk", "b", 2),
+                    make_vm("e3", "desk", "c", 3)};
         balancer.publish(list);
         question.service = base::service_name("desk");
     }
--- a/packages/relay/test/piece_scheduler_test.cpp
+++ b/packages/relay/test/piece_scheduler_test.cpp
@@ -20,7 +20,8 @@
         scheduler.configure(limits, {endpoint("p1", "a", 1), endpoint("p2", "b", 2)});
     }
 
-    static relay::pool_endpoint endpoint(const std::string& id, const std::string& domain, std::uint8_t host) {
+    static relay::pool_endpoint endpoint(const std::string& id, const std::string& domain,
+                                         std::uint8_t host) {
         return {base::endpoint_id(id), base::address{{10, 0, 1, host}, 8080}, base::failure_domain(domain)};
     }
 
@@ -63,8 +64,10 @@
     for (int n = 0; n < 9; ++n) {
         BOOST_TEST(scheduler.add(piece(1000 + n), at_ms(0)));
     }
-    BOOST_TEST(tickets(scheduler.next(at_ms(0))) == (ticket_list{1, 2, 3, 4}), boost::test_tools::per_element());
-    BOOST_TEST(tickets(scheduler.next(at_ms(0))) == (ticket_list{5, 6, 7, 8}), boost::test_tools::per_element());
+    BOOST_TEST(tickets(scheduler.next(at_ms(0))) == (ticket_list{1, 2, 3, 4}),
+               boost::test_tools::per_element());
+    BOOST_TEST(tickets(scheduler.next(at_ms(0))) == (ticket_list{5, 6, 7, 8}),
+               boost::test_tools::per_element());
     BOOST_TEST(!scheduler.next(at_ms(0)).has_value());
     BOOST_TEST(scheduler.waiting() == 1U);
 }
@@ -75,7 +78,8 @@
     for (const std::int64_t due : {-50, 900, 300, 600, 700}) {
         BOOST_TEST(scheduler.add(piece(due), at_ms(0)));
     }
-    BOOST_TEST(tickets(scheduler.next(at_ms(0))) == (ticket_list{3, 4, 5, 2}), boost::test_tools::per_element());
+    BOOST_TEST(tickets(scheduler.next(at_ms(0))) == (ticket_list{3, 4, 5, 2}),
+               boost::test_tools::per_element());
 }
 
 // Guards against a call with one piece that waits at a busy endpoint, where pieces that come later
--- a/packages/relay/test/rules_test.cpp
+++ b/packages/relay/test/rules_test.cpp
@@ -148,8 +148,8 @@
 // Guards against a split that ignores its weights.
 BOOST_AUTO_TEST_CASE(targets_are_drawn_by_their_weights) {
     config::relay_route split = route("split", "one.example", "/");
-    split.targets = {{base::service_name("old"), 90}, {base::service_name("new"), 10},
-                     {base::service_name("none"), 0}};
+    split.targets = {
+        {base::service_name("old"), 90}, {base::service_name("new"), 10}, {base::service_name("none"), 0}};
     base::random_source random(5);
     std::map<std::string, int> drawn;
     constexpr int draws = 5000;
--- a/packages/routing/experiment/endpoint_model.hpp
+++ b/packages/routing/experiment/endpoint_model.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <rattanbay/pipeline/action.hpp>
 #include <rattanbay/object_api/vm_list.hpp>
+#include <rattanbay/pipeline/action.hpp>
 
 #include <event_queue.hpp>
 #include <installation.hpp>
