--- a/packages/daemon/src/internal/relay_run.hpp
+++ b/packages/daemon/src/internal/relay_run.hpp
@@ -98,6 +98,9 @@
     bool streaming_ = false;
     bool departed_ = false;
     http::client_connection* active_ = nullptr;
+    /// Times of the last attempt, from the arrival of the request.
+    std::optional<base::duration> sent_after_;
+    std::optional<base::duration> first_byte_after_;
 };
 
 } // namespace rattanbay::daemon::internal
--- a/packages/daemon/src/relay_handler.cpp
+++ b/packages/daemon/src/relay_handler.cpp
@@ -117,6 +117,7 @@
     const std::vector<peer::member_record> chosen =
         membership::select_near_entries(shared_.members.read()->members, question->failure_domain, random);
     std::vector<base::address> addresses;
+    addresses.reserve(chosen.size());
     for (const peer::member_record& member : chosen) {
         addresses.push_back(member.caller_address);
     }
--- a/packages/daemon/src/relay_run.cpp
+++ b/packages/daemon/src/relay_run.cpp
@@ -44,11 +44,10 @@
     , executor_(executor)
     , input_(std::move(input))
     , random_(shared.next_seed())
-    , service_(relay::draw_target(*input_.route, random_)) {
-    const base::duration timeout = input_.route->timeout;
-    deadline_ = input_.arrival + std::min(input_.request.time_left.value_or(timeout), timeout);
-    last_event_ = input_.request.resume_after;
-}
+    , service_(relay::draw_target(*input_.route, random_))
+    , deadline_(input_.arrival +
+                std::min(input_.request.time_left.value_or(input_.route->timeout), input_.route->timeout))
+    , last_event_(input_.request.resume_after) {}
 
 asio::awaitable<void> relay_run::execute(http::responder& out) {
     const std::shared_ptr<relay_run> self = shared_from_this();
@@ -176,6 +175,10 @@
 
 void relay_run::note_attempt(const attempt& current, relay::attempt_end end) {
     const base::time_point time = now();
+    sent_after_ = current.start - input_.arrival;
+    if (current.first_byte) {
+        first_byte_after_ = *sent_after_ + *current.first_byte;
+    }
     relay_.balancer.ended(current.endpoint.id, end, current.first_byte.value_or(time - current.start), size(),
                           time);
     tried_.push_back(current.endpoint.id);
@@ -442,19 +445,24 @@
 
 void relay_run::log_end(std::string_view result) {
     const base::duration took = now() - input_.arrival;
-    telemetry::log(telemetry::log_event::relay_ended,
-                   {{"request", input_.request.id.text()},
-                    {"route", input_.route->name},
-                    {"service", service_.text()},
-                    {"account", input_.account ? input_.account->text() : ""},
-                    {"endpoint", tried_.empty() ? "" : tried_.back().text()},
-                    {"attempts", std::to_string(tried_.size())},
-                    {"result", std::string(result)},
-                    {"took_ms", std::to_string(base::to_milliseconds(took))},
-                    {"stages_ms", stages_ ? stages_->times() : ""},
-                    {"left_ms", std::to_string(base::to_milliseconds(left()))},
-                    {"document", std::to_string(input_.serving->revision)},
-                    {"vm_list", std::to_string(shared_.vms.read()->version)}});
+    telemetry::log(
+        telemetry::log_event::relay_ended,
+        {{"request", input_.request.id.text()},
+         {"route", input_.route->name},
+         {"service", service_.text()},
+         {"account", input_.account ? input_.account->text() : ""},
+         {"endpoint", tried_.empty() ? "" : tried_.back().text()},
+         {"attempts", std::to_string(tried_.size())},
+         {"result", std::string(result)},
+         {"took_ms", std::to_string(base::to_milliseconds(took))},
+         {"stages_ms", stages_ ? stages_->times() : ""},
+         {"sent_ms", sent_after_ ? std::to_string(base::to_milliseconds(*sent_after_)) : ""},
+         {"first_byte_ms",
+          first_byte_after_ ? std::to_string(base::to_milliseconds(*first_byte_after_)) : ""},
+         {"input_tokens", input_.request.prompt ? std::to_string(input_.request.prompt->input_tokens) : ""},
+         {"left_ms", std::to_string(base::to_milliseconds(left()))},
+         {"document", std::to_string(input_.serving->revision)},
+         {"vm_list", std::to_string(shared_.vms.read()->version)}});
     shared_.metrics.request_ended(base::pipeline_name(input_.route->name), result, took);
 }
 
