--- a/packages/relay/include/rattanbay/relay/piece_scheduler.hpp
+++ b/packages/relay/include/rattanbay/relay/piece_scheduler.hpp
@@ -116,7 +116,6 @@
     std::size_t pieces_ahead(const waiting_piece& piece, base::time_point now) const;
     void forget_expired(base::time_point now);
     std::size_t free_calls(const endpoint_state& state) const;
-    static bool is_near(const endpoint_state& state, const waiting_piece& piece);
     bool may_take(const endpoint_state& state, const waiting_piece& piece, std::uint64_t chosen_bytes,
                   base::time_point now) const;
     std::vector<waiting_piece> take(endpoint_state& state, base::time_point now);
--- a/packages/relay/src/piece_scheduler.cpp
+++ b/packages/relay/src/piece_scheduler.cpp
@@ -104,10 +104,6 @@
     return most > state.calls ? most - state.calls : 0;
 }
 
-bool piece_scheduler::is_near(const endpoint_state& state, const waiting_piece& piece) {
-    return piece.near.empty() || piece.near == state.listed.failure_domain;
-}
-
 bool piece_scheduler::may_take(const endpoint_state& state, const waiting_piece& piece,
                                std::uint64_t chosen_bytes, base::time_point now) const {
     const std::uint64_t used = state.reserved + state.held + chosen_bytes;
@@ -116,7 +112,8 @@
     if (room > 0 && used > 0 && used + piece.result_bytes > room) {
         return false;
     }
-    if (is_near(state, piece) || piece.result_bytes < large_result || now - piece.arrival >= near_wait) {
+    const bool is_near = piece.near.empty() || piece.near == state.listed.failure_domain;
+    if (is_near || piece.result_bytes < large_result || now - piece.arrival >= near_wait) {
         return true;
     }
     return std::ranges::none_of(endpoints_, [&piece, now](const auto& row) {
@@ -125,27 +122,20 @@
 }
 
 std::vector<waiting_piece> piece_scheduler::take(endpoint_state& state, base::time_point now) {
+    // Pieces in time first, in the order of their due times; then those that are late already.
     const auto first_in_time = queue_.lower_bound(place(now, 0));
-    const auto first_with_slack = queue_.lower_bound(place(now + limits_.call_time, 0));
     std::vector<std::map<place, waiting_piece>::iterator> chosen;
     std::uint64_t bytes = 0;
-    const auto choose_from = [&](auto it, auto end, auto wanted) {
+    const auto choose_from = [&](auto it, auto end) {
         for (; it != end && chosen.size() < limits_.batch; ++it) {
-            if (wanted(it->second) && may_take(state, it->second, bytes, now)) {
+            if (may_take(state, it->second, bytes, now)) {
                 bytes += it->second.result_bytes;
                 chosen.push_back(it);
             }
         }
     };
-    const auto any = [](const waiting_piece&) { return true; };
-    const auto near = [&](const waiting_piece& piece) { return is_near(state, piece); };
-    const auto far = [&](const waiting_piece& piece) { return !is_near(state, piece); };
-    // Pieces that are due go first. Those that can wait for another call leave the places to those
-    // whose inputs and results are in this failure domain. Late ones come last.
-    choose_from(first_in_time, first_with_slack, any);
-    choose_from(first_with_slack, queue_.end(), near);
-    choose_from(first_with_slack, queue_.end(), far);
-    choose_from(queue_.begin(), first_in_time, any);
+    choose_from(first_in_time, queue_.end());
+    choose_from(queue_.begin(), first_in_time);
     // A call that only waits at the endpoint is worth sending when no further piece could join it.
     if (state.calls >= limits_.slots && chosen.size() < limits_.batch) {
         return {};
