Give results up within 5 ms and plan with the whole room of an endpoint

Cause: calls to a pool carried 1 to 4 pieces while 50 to 100 waited, because the endpoints' room was taken by results that had been used already: they were given up in rounds of 50 ms, and a tenth of the room was left free although an endpoint without room says so.

--- a/packages/daemon/src/piece_pool.cpp
+++ b/packages/daemon/src/piece_pool.cpp
@@ -22,7 +22,7 @@
 /// ejected are looked at again.
 constexpr std::chrono::milliseconds wakeup_period{20};
 /// Time in which results that are given up are collected into one call for each holder.
-constexpr std::chrono::milliseconds release_period{50};
+constexpr std::chrono::milliseconds release_period{5};
 constexpr std::chrono::seconds release_limit{1};
 /// Margin of a call for the network and the endpoint's own delays.
 constexpr std::chrono::milliseconds call_margin{500};
--- a/packages/relay/src/piece_scheduler.cpp
+++ b/packages/relay/src/piece_scheduler.cpp
@@ -16,7 +16,7 @@
 constexpr std::uint32_t failures_to_eject = 2;
 constexpr std::chrono::seconds ejection{2};
 /// Share of an endpoint's room that is planned with, as sizes of results are estimates.
-constexpr double usable_room = 0.9;
+constexpr double usable_room = 1.0;
 
 std::uint64_t share_of(std::uint64_t bytes, double share) {
     return static_cast<std::uint64_t>(static_cast<double>(bytes) * share);
