Daemons find each other through the platform when their seeds are gone

Cause: settings name three seeds at most; a VM that is added after all of them were replaced stayed alone. Each daemon writes one object named by its peer address at its start and asks those that are not among its members: every 3 s while it knows no other daemon, else every minute.

--- a/packages/daemon/src/internal/piece_pool.hpp
+++ b/packages/daemon/src/internal/piece_pool.hpp
@@ -72,7 +72,6 @@
         /// Document revision and VM list version that the scheduler was configured for.
         std::pair<std::uint64_t, std::uint64_t> configured;
         base::duration call_limit{};
-        std::size_t batch = 1;
         bool wakeup_set = false;
     };
 
--- a/packages/daemon/src/internal/state_keeper.hpp
+++ b/packages/daemon/src/internal/state_keeper.hpp
@@ -49,6 +49,11 @@
     asio::awaitable<void> read_missed_vms(std::uint64_t store_version);
     asio::awaitable<void> watch_vms();
     asio::awaitable<void> ask_seeds_at_start();
+    /// Puts this daemon's address into the platform.
+    asio::awaitable<void> register_self();
+    /// Asks daemons that are in the platform and not among the members.
+    asio::awaitable<void> find_registered();
+    bool is_member(const base::address& peer_address) const;
     asio::awaitable<bool> ask_peer(base::address peer_address);
     asio::awaitable<object_api::answer> call(object_api::call request);
     asio::awaitable<void> pause_after_failure(unsigned failures);
--- a/packages/daemon/src/piece_pool.cpp
+++ b/packages/daemon/src/piece_pool.cpp
@@ -128,7 +128,6 @@
     if (here.configured != wanted) {
         here.scheduler.configure(*settings->pieces, relay_.balancer.usable_endpoints(service));
         here.call_limit = call_limit(*settings->pieces);
-        here.batch = settings->pieces->batch;
         here.configured = wanted;
     }
     return true;
--- a/packages/daemon/src/state_keeper.cpp
+++ b/packages/daemon/src/state_keeper.cpp
@@ -29,6 +29,31 @@
 constexpr std::chrono::seconds peer_limit{2};
 /// Period of the check for VM list entries that lapsed and were not listed again.
 constexpr std::chrono::milliseconds lapse_check_period{250};
+/// Kind of the platform's objects whose names are the peer addresses of daemons. A daemon finds the
+/// others there when its seeds are gone.
+constexpr std::string_view registry_kind = "entry-vms";
+/// Period of reading them, and the period of a daemon that knows no other one.
+constexpr std::chrono::seconds registry_period{60};
+constexpr std::chrono::seconds alone_period{3};
+
+/// Name of a daemon's object: its address with dashes, which every platform takes in names.
+std::string registry_name(const base::address& address) {
+    std::string out = address.text();
+    std::ranges::replace(out, '.', '-');
+    std::ranges::replace(out, ':', '-');
+    return out;
+}
+
+std::optional<base::address> registered_address(std::string name) {
+    const std::size_t port = name.rfind('-');
+    if (port == std::string::npos) {
+        return std::nullopt;
+    }
+    std::ranges::replace(name, '-', '.');
+    name[port] = ':';
+    const base::result<base::address> parsed = base::address::parse(name);
+    return parsed ? std::optional<base::address>(*parsed) : std::nullopt;
+}
 
 } // namespace
 
@@ -57,6 +82,10 @@
         strand_, [self]() { return self->remove_lapsed_vms(); }, asio::detached);
     asio::co_spawn(
         strand_, [self]() { return self->ask_seeds_at_start(); }, asio::detached);
+    if (shared_.relay) {
+        asio::co_spawn(
+            strand_, [self]() { return self->find_registered(); }, asio::detached);
+    }
 }
 
 void state_keeper::fetch_from(const base::address& peer_address) {
@@ -240,6 +269,48 @@
     }
 }
 
+asio::awaitable<void> state_keeper::register_self() {
+    const object_api::object_key key{std::string(registry_kind),
+                                     registry_name(shared_.settings.peer_address)};
+    unsigned failures = 0;
+    while (true) {
+        const object_api::write_object request{key, std::nullopt, "{}"};
+        const object_api::answer answer = co_await call(request);
+        if (!std::holds_alternative<object_api::failed>(answer)) {
+            co_return;
+        }
+        co_await pause_after_failure(++failures);
+    }
+}
+
+asio::awaitable<void> state_keeper::find_registered() {
+    co_await register_self();
+    while (true) {
+        const object_api::list_objects request{std::string(registry_kind)};
+        const object_api::answer answer = co_await call(request);
+        if (const object_api::listing* list = std::get_if<object_api::listing>(&answer)) {
+            for (const object_api::listing::row& row : list->objects) {
+                const std::optional<base::address> other = registered_address(row.name);
+                if (other && !is_member(*other)) {
+                    co_await ask_peer(*other);
+                }
+            }
+        }
+        const bool alone = shared_.members.read()->members.size() <= 1;
+        const base::duration period = alone ? alone_period : registry_period;
+        const std::int64_t jitter =
+            static_cast<std::int64_t>(random_.below(static_cast<std::uint64_t>(period.count())));
+        co_await pause(period / 2 + base::duration(jitter));
+    }
+}
+
+bool state_keeper::is_member(const base::address& peer_address) const {
+    const std::shared_ptr<const member_view> view = shared_.members.read();
+    return std::ranges::any_of(view->members, [&peer_address](const peer::member_record& row) {
+        return row.peer_address == peer_address;
+    });
+}
+
 asio::awaitable<bool> state_keeper::ask_peer(base::address peer_address) {
     const peer::frame request = peer::state_request{adoption_.revision()};
     const base::result<peer::frame> answer = co_await transport_.exchange(peer_address, request, peer_limit);
--- a/packages/relay/include/rattanbay/relay/call.hpp
+++ b/packages/relay/include/rattanbay/relay/call.hpp
@@ -88,7 +88,7 @@
     bool is_event_stream = false;
     /// Whether the body is coded in a way that the client did not ask for.
     bool is_coded = false;
-    /// Whether the endpoint is to be asked again later, on another connection.
+    /// Load of the endpoint, when it reports it.
     std::optional<endpoint_load> load;
     /// Fields to pass on to the client.
     http::fields fields;
