--- a/packages/daemon/src/state_keeper.cpp
+++ b/packages/daemon/src/state_keeper.cpp
@@ -22,8 +22,11 @@
 constexpr std::chrono::milliseconds read_spacing{250};
 constexpr std::chrono::milliseconds least_read_period{1000};
 constexpr std::chrono::seconds most_read_period{20};
+/// Pause after a change of the VM list. Changes often come together, for example when a service is
+/// replaced, and each one would wake every daemon's watch.
+constexpr std::chrono::milliseconds watch_spacing{200};
 /// Time that a watch may be behind a read.
-constexpr std::chrono::milliseconds watch_delay{300};
+constexpr std::chrono::milliseconds watch_delay{400};
 constexpr std::chrono::milliseconds least_backoff{200};
 constexpr std::chrono::seconds most_backoff{10};
 constexpr std::chrono::seconds peer_limit{2};
@@ -211,6 +214,8 @@
         failures = std::holds_alternative<object_api::failed>(answer) ? failures + 1 : 0;
         if (failures > 0) {
             co_await pause_after_failure(failures);
+        } else if (std::holds_alternative<object_api::vm_changes>(answer)) {
+            co_await pause(watch_spacing);
         }
     }
 }
