Split what grew: the HTTP server's watch and limit, the relay's checks

The relay's handler finds the route and the account in functions of their own. No behaviour changes; tests of http, daemon and the adapter pass.

--- a/packages/daemon/src/internal/relay_handler.hpp
+++ b/packages/daemon/src/internal/relay_handler.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "piece_router.hpp"
+#include "relay_run.hpp"
 #include "shared_state.hpp"
 
 #include <rattanbay/base/problem.hpp>
@@ -9,6 +10,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <memory>
+#include <optional>
 
 namespace rattanbay::daemon::internal {
 
@@ -28,6 +30,10 @@
     asio::awaitable<void> handle_readiness(const http::request& message, http::responder& out);
 
 private:
+    /// Sets the route of a request, or returns why it has none.
+    std::optional<http::response> find_route(relay_input& input) const;
+    /// Sets the account and the urgency of a request with a route, or returns why it is refused.
+    std::optional<http::response> find_account(relay_input& input) const;
     http::response refusal(const base::request_id& id, base::problem_kind kind, std::string detail) const;
 
     shared_state& shared_;
--- a/packages/daemon/src/relay_handler.cpp
+++ b/packages/daemon/src/relay_handler.cpp
@@ -61,30 +61,13 @@
         co_await out.send(std::move(answer));
         co_return;
     }
-    input.route = input.serving->routes->find(input.request.host, input.request.path);
-    if (input.route == nullptr || input.route->targets.empty()) {
-        http::response answer = refusal(input.request.id, base::problem_kind::unknown_pipeline,
-                                        "no route for '" + input.request.host + input.request.path +
-                                            "' in revision " + std::to_string(input.serving->revision));
-        co_await out.send(std::move(answer));
-        co_return;
+    std::optional<http::response> refused = find_route(input);
+    if (!refused) {
+        refused = find_account(input);
     }
-    input.urgency = input.route->urgency;
-    const config::relay_document& document = input.serving->routes->document();
-    if (document.keys_required) {
-        const auto account = document.accounts_by_key.find(base::sha256_hex(input.request.key.value_or("")));
-        const bool known = input.request.key && account != document.accounts_by_key.end();
-        if (!known && !input.route->is_public) {
-            http::response answer = refusal(input.request.id, base::problem_kind::unauthenticated,
-                                            "the key is missing or unknown in revision " +
-                                                std::to_string(input.serving->revision));
-            co_await out.send(std::move(answer));
-            co_return;
-        }
-        if (known) {
-            input.account = account->second.name;
-            input.urgency = account->second.urgency.value_or(input.urgency);
-        }
+    if (refused) {
+        co_await out.send(std::move(*refused));
+        co_return;
     }
     const progress_count counted(shared_.requests_in_progress);
     const asio::any_io_executor executor = co_await asio::this_coro::executor;
@@ -93,6 +76,36 @@
     co_await run->execute(out);
 }
 
+std::optional<http::response> relay_handler::find_route(relay_input& input) const {
+    input.route = input.serving->routes->find(input.request.host, input.request.path);
+    if (input.route == nullptr || input.route->targets.empty()) {
+        return refusal(input.request.id, base::problem_kind::unknown_pipeline,
+                       "no route for '" + input.request.host + input.request.path + "' in revision " +
+                           std::to_string(input.serving->revision));
+    }
+    input.urgency = input.route->urgency;
+    return std::nullopt;
+}
+
+std::optional<http::response> relay_handler::find_account(relay_input& input) const {
+    const config::relay_document& document = input.serving->routes->document();
+    if (!document.keys_required) {
+        return std::nullopt;
+    }
+    const auto account = document.accounts_by_key.find(base::sha256_hex(input.request.key.value_or("")));
+    const bool known = input.request.key && account != document.accounts_by_key.end();
+    if (!known && !input.route->is_public) {
+        return refusal(input.request.id, base::problem_kind::unauthenticated,
+                       "the key is missing or unknown in revision " +
+                           std::to_string(input.serving->revision));
+    }
+    if (known) {
+        input.account = account->second.name;
+        input.urgency = account->second.urgency.value_or(input.urgency);
+    }
+    return std::nullopt;
+}
+
 http::response relay_handler::refusal(const base::request_id& id, base::problem_kind kind,
                                       std::string detail) const {
     telemetry::log(telemetry::log_event::request_rejected,
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -1,3 +1,6 @@
+#include "internal/arrival_limit.hpp"
+#include "internal/departure_watch.hpp"
+
 #include <rattanbay/base/snapshot.hpp>
 #include <rattanbay/http/server.hpp>
 
@@ -24,6 +27,8 @@
 namespace beast = boost::beast;
 using boost::system::error_code;
 using tcp = asio::ip::tcp;
+using internal::arrival_limit;
+using internal::departure_watch;
 
 constexpr int http_1_1 = 11;
 
@@ -53,61 +58,6 @@
     return std::nullopt;
 }
 
-/// Notices that the client closes its connection while its request is handled. What it sends in
-/// the meantime is the start of its next request and stays in the buffer.
-class departure_watch : public std::enable_shared_from_this<departure_watch> {
-public:
-    departure_watch(beast::tcp_stream& stream, beast::flat_buffer& buffer)
-        : stream_(stream)
-        , buffer_(buffer)
-        , ended_(stream.get_executor(), asio::steady_timer::time_point::max()) {}
-
-    void start(std::function<void()> notify) {
-        notify_ = std::move(notify);
-        const std::shared_ptr<departure_watch> self = shared_from_this();
-        reading_ = true;
-        asio::co_spawn(
-            stream_.get_executor(), [self]() { return self->watch(); }, asio::detached);
-    }
-
-    /// Ends the watch; afterwards the connection may be read again.
-    asio::awaitable<void> stop() {
-        notify_ = nullptr;
-        stopped_ = true;
-        while (reading_) {
-            error_code ignored;
-            stream_.socket().cancel(ignored);
-            co_await ended_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-        }
-    }
-
-private:
-    asio::awaitable<void> watch() {
-        // Bounds what a client can make the server hold before its request is answered.
-        constexpr std::size_t most_ahead = 16 * 1024;
-        constexpr std::size_t piece = 4096;
-        error_code ec;
-        while (!ec && !stopped_ && buffer_.size() < most_ahead) {
-            const std::size_t size = co_await stream_.socket().async_read_some(
-                buffer_.prepare(piece), asio::redirect_error(asio::use_awaitable, ec));
-            buffer_.commit(size);
-        }
-        reading_ = false;
-        ended_.cancel();
-        if (ec && ec != asio::error::operation_aborted && notify_) {
-            const std::function<void()> notify = std::move(notify_);
-            notify();
-        }
-    }
-
-    beast::tcp_stream& stream_;
-    beast::flat_buffer& buffer_;
-    asio::steady_timer ended_;
-    std::function<void()> notify_;
-    bool reading_ = false;
-    bool stopped_ = false;
-};
-
 class beast_responder final : public responder {
 public:
     beast_responder(beast::tcp_stream& stream, beast::flat_buffer& buffer, base::duration limit,
@@ -408,36 +358,6 @@
     co_return ec;
 }
 
-/// A time limit that cancels the operations of a stream. The timeout of a tcp_stream closes the
-/// socket; this one leaves it open, so that the client can be told why its request was rejected.
-class arrival_limit {
-public:
-    arrival_limit(beast::tcp_stream& stream, base::duration limit)
-        : stream_(stream)
-        , timer_(stream.get_executor(), limit) {
-        timer_.async_wait([this](const error_code& ec) {
-            if (!ec) {
-                late_ = true;
-                stream_.cancel();
-            }
-        });
-    }
-
-    /// Stops the timer and returns the error of the operation, `timeout` when the limit passed.
-    asio::awaitable<error_code> finish(error_code ec) {
-        if (timer_.cancel() == 0 && !late_) {
-            // The timer's handler is already queued and refers to this object: lets it run first.
-            co_await asio::post(stream_.get_executor(), asio::use_awaitable);
-        }
-        co_return late_&& ec == asio::error::operation_aborted ? error_code(beast::error::timeout) : ec;
-    }
-
-private:
-    beast::tcp_stream& stream_;
-    asio::steady_timer timer_;
-    bool late_ = false;
-};
-
 /// Whether a header field is continued on a line of its own. RFC 9112 lets a server reject that;
 /// another reader could take the line for a field.
 bool has_folded_line(std::string_view header) {
