Bound the nesting of JSON texts from other processes

Cause: copying and printing a JSON value recurse at each level. A caller without a token who sent 100,000 opening brackets ended a daemon by a segmentation fault; answers of endpoints, the store and operators were parsed without a bound too. Only documents, settings and msgpack messages had one.

A caller is known before his body is parsed: parse_run_request is divided into head and body.

Before: the new test path/a_body_nested_too_deep_is_refused ends the test program when the bound is switched off. After: it passes; an unknown caller gets 401, a known one 400 with the outcome not_run.

--- a/packages/base/include/rattanbay/base.hpp
+++ b/packages/base/include/rattanbay/base.hpp
@@ -9,6 +9,7 @@
 /// - hash.hpp: SHA-256, HMAC, 128-bit hash
 /// - identifier.hpp: distinct string types for identifiers
 /// - incarnation.hpp: identity of one run of a daemon
+/// - json.hpp: parsing JSON text of other processes within a bounded depth
 /// - outcome.hpp: what is known about whether a request ran
 /// - problem.hpp: a refusal or failure as callers see it
 /// - random_source.hpp: seeded random numbers
@@ -21,6 +22,7 @@
 #include <rattanbay/base/hash.hpp>
 #include <rattanbay/base/identifier.hpp>
 #include <rattanbay/base/incarnation.hpp>
+#include <rattanbay/base/json.hpp>
 #include <rattanbay/base/outcome.hpp>
 #include <rattanbay/base/problem.hpp>
 #include <rattanbay/base/random_source.hpp>
--- a/packages/caller/include/rattanbay/caller/run_request.hpp
+++ b/packages/caller/include/rattanbay/caller/run_request.hpp
@@ -50,7 +50,15 @@
 /// Whether a request is one to run a pipeline, by its path.
 bool is_run_request(std::string_view target);
 
-/// Reads a request. A problem of the body has the outcome `not_run`, as no VM can ever run it; one of
+/// Reads what a request's method, path and header fields say; the body's members keep their defaults.
+/// A problem of a request with an idempotency key has the outcome `unknown`.
+tl::expected<run_request, base::problem> parse_run_head(const http::request& message);
+
+/// Reads a body for a head that was read before. A problem has the outcome `not_run`, as no VM can ever
+/// run it.
+tl::expected<run_request, base::problem> parse_run_body(run_request head, std::string_view body);
+
+/// Reads a whole request. A problem of the body has the outcome `not_run`, as no VM can ever run it; one of
 /// the header fields of a request with an idempotency key has the outcome `unknown`.
 tl::expected<run_request, base::problem> parse_run_request(const http::request& message);
 
--- a/packages/caller/src/answer.cpp
+++ b/packages/caller/src/answer.cpp
@@ -1,3 +1,4 @@
+#include <rattanbay/base/json.hpp>
 #include <rattanbay/caller/answer.hpp>
 
 #include <nlohmann/json.hpp>
@@ -13,7 +14,7 @@
 }
 
 json parsed_output(const std::string& output) {
-    return json::parse(output, nullptr, false);
+    return base::parse_json<json>(output);
 }
 
 json usage_of(const answer_parts& parts) {
--- a/packages/caller/src/run_request.cpp
+++ b/packages/caller/src/run_request.cpp
@@ -1,3 +1,4 @@
+#include <rattanbay/base/json.hpp>
 #include <rattanbay/caller/run_request.hpp>
 
 #include <nlohmann/json.hpp>
@@ -86,9 +87,11 @@
 };
 
 tl::expected<json, base::problem> parse_object(std::string_view text) {
-    json body = json::parse(text, nullptr, false);
+    json body = base::parse_json<json>(text);
     if (body.is_discarded()) {
-        return malformed("the body is not valid JSON");
+        return malformed(base::is_nested_within(text, base::most_json_levels)
+                             ? "the body is not valid JSON"
+                             : "the body is nested too deep");
     }
     if (!body.is_object()) {
         return malformed("the body has to be a JSON object");
@@ -96,21 +99,18 @@
     return body;
 }
 
-tl::expected<run_request, base::problem> read_body(dialect form, const json& body) {
-    run_request out;
-    out.dialect = form;
+/// Reads the members of a body into the request; returns what is wrong with them, if anything.
+std::string read_members(const json& body, run_request& out) {
     constexpr std::uint64_t any = ~std::uint64_t{0};
-    body_reader reader = form == dialect::run
+    const bool is_run = out.dialect == dialect::run;
+    body_reader reader = is_run
                              ? body_reader(body, {"input", "stream", "max_tokens", "seed"})
                              : body_reader(body, {"model", "prompt", "stream", "max_tokens", "seed", "user"});
-    out.input = reader.required(form == dialect::run ? "input" : "prompt");
+    out.input = reader.required(is_run ? "input" : "prompt");
     out.streamed = reader.boolean("stream");
     out.max_tokens = reader.number("max_tokens", 1, max_tokens_limit).value_or(default_max_tokens);
     out.seed = reader.number("seed", 0, any);
-    if (!reader.error().empty()) {
-        return malformed(reader.error());
-    }
-    return out;
+    return reader.error();
 }
 
 bool is_id_character(char character) {
@@ -141,27 +141,6 @@
     return {};
 }
 
-tl::expected<run_request, base::problem> parse_run_body(dialect form, const base::pipeline_name& pipeline,
-                                                        std::string_view body) {
-    const tl::expected<json, base::problem> parsed = parse_object(body);
-    if (!parsed) {
-        return tl::unexpected<base::problem>(parsed.error());
-    }
-    tl::expected<run_request, base::problem> out = read_body(form, *parsed);
-    if (!out) {
-        return out;
-    }
-    out->pipeline = pipeline;
-    if (form == dialect::completion) {
-        const json model = parsed->value("model", json());
-        if (!model.is_string()) {
-            return malformed("'model' has to be the name of a pipeline");
-        }
-        out->pipeline = base::pipeline_name(model.get<std::string>());
-    }
-    return out;
-}
-
 } // namespace
 
 bool is_run_request(std::string_view target) {
@@ -169,28 +148,49 @@
     return path == completion_path || pipeline_of(path).has_value();
 }
 
-tl::expected<run_request, base::problem> parse_run_request(const http::request& message) {
+tl::expected<run_request, base::problem> parse_run_head(const http::request& message) {
     if (message.method != "POST") {
         return tl::unexpected<base::problem>(base::problem{base::problem_kind::method_not_allowed,
                                                            base::outcome::not_run, "use POST", std::nullopt});
     }
     const std::string_view path = http::path_of(message.target);
-    const dialect form = path == completion_path ? dialect::completion : dialect::run;
-    const base::pipeline_name named(pipeline_of(path).value_or(std::string()));
-    tl::expected<run_request, base::problem> out = parse_run_body(form, named, message.body);
-    if (!out) {
-        return out;
-    }
-    const std::string wrong = read_fields(message.fields, *out);
+    run_request out;
+    out.dialect = path == completion_path ? dialect::completion : dialect::run;
+    out.pipeline = base::pipeline_name(pipeline_of(path).value_or(std::string()));
+    const std::string wrong = read_fields(message.fields, out);
     if (wrong.empty()) {
         return out;
     }
     tl::unexpected<base::problem> refusal = malformed(wrong);
-    if (out->idempotency_key) {
+    if (out.idempotency_key) {
         // The same key and body may have run with other header fields.
         refusal.value().outcome = base::outcome::unknown;
     }
     return refusal;
 }
 
+tl::expected<run_request, base::problem> parse_run_body(run_request head, std::string_view body) {
+    const tl::expected<json, base::problem> parsed = parse_object(body);
+    if (!parsed) {
+        return tl::unexpected<base::problem>(parsed.error());
+    }
+    std::string wrong = read_members(*parsed, head);
+    if (!wrong.empty()) {
+        return malformed(std::move(wrong));
+    }
+    if (head.dialect == dialect::completion) {
+        const json model = parsed->value("model", json());
+        if (!model.is_string()) {
+            return malformed("'model' has to be the name of a pipeline");
+        }
+        head.pipeline = base::pipeline_name(model.get<std::string>());
+    }
+    return head;
+}
+
+tl::expected<run_request, base::problem> parse_run_request(const http::request& message) {
+    tl::expected<run_request, base::problem> head = parse_run_head(message);
+    return head ? parse_run_body(std::move(*head), message.body) : head;
+}
+
 } // namespace rattanbay::caller
--- a/packages/ctl/src/daemon_client.cpp
+++ b/packages/ctl/src/daemon_client.cpp
@@ -1,3 +1,4 @@
+#include <rattanbay/base/json.hpp>
 #include <rattanbay/ctl/daemon_client.hpp>
 
 namespace rattanbay::ctl {
@@ -18,7 +19,7 @@
 
 /// Sentence for a response that is not a success, from its problem document if it has one.
 std::string refusal_text(const http::response& response) {
-    const json problem = json::parse(response.body, nullptr, false);
+    const json problem = base::parse_json<json>(response.body);
     std::string out = "status " + std::to_string(response.status);
     if (problem.is_object()) {
         for (const std::string& key : {std::string("title"), std::string("detail"), std::string("outcome")}) {
@@ -33,7 +34,7 @@
     if (!body) {
         return tl::unexpected<base::error>(body.error());
     }
-    ordered_json value = ordered_json::parse(*body, nullptr, false);
+    ordered_json value = base::parse_json<ordered_json>(*body);
     if (!value.is_object()) {
         return base::fail(error_code::protocol_violation, "the answer is not a JSON object");
     }
--- a/packages/daemon/src/caller_handler.cpp
+++ b/packages/daemon/src/caller_handler.cpp
@@ -98,15 +98,13 @@
 asio::awaitable<void> caller_handler::run(const http::request& message, http::responder& out) {
     accepted work;
     work.arrival = now();
-    tl::expected<caller::run_request, base::problem> parsed = caller::parse_run_request(message);
-    if (!parsed) {
+    tl::expected<caller::run_request, base::problem> head = caller::parse_run_head(message);
+    if (!head) {
         const base::request_id id(message.fields.find("X-Request-Id").value_or(std::string()));
-        telemetry::log(telemetry::log_event::request_rejected, {{"detail", parsed.error().detail}});
-        http::response answer = caller::problem_response(parsed.error(), id);
-        co_await out.send(std::move(answer));
+        co_await reject(id, head.error(), out);
         co_return;
     }
-    work.parsed = std::move(*parsed);
+    work.parsed = std::move(*head);
     if (work.parsed.id.empty()) {
         work.parsed.id = base::request_id("r-" + shared_.unique_suffix());
     }
@@ -124,12 +122,28 @@
         co_await refuse(work, std::move(problem), out);
         co_return;
     }
+    // The body of an unknown caller is not worth the time to parse it.
+    tl::expected<caller::run_request, base::problem> whole =
+        caller::parse_run_body(work.parsed, message.body);
+    if (!whole) {
+        co_await reject(work.parsed.id, whole.error(), out);
+        co_return;
+    }
+    work.parsed = std::move(*whole);
     const progress_count counted(shared_);
     shared_.record(work.parsed.id, telemetry::timeline_event::request_accepted,
                    {{"account", work.account->name.text()}, {"pipeline", work.parsed.pipeline.text()}});
     co_await run_accepted(work, message, out);
 }
 
+asio::awaitable<void> caller_handler::reject(base::request_id id, base::problem problem,
+                                             http::responder& out) {
+    telemetry::log(telemetry::log_event::request_rejected,
+                   {{"request", id.text()}, {"detail", problem.detail}});
+    http::response answer = caller::problem_response(problem, id);
+    co_await out.send(std::move(answer));
+}
+
 asio::awaitable<void> caller_handler::run_accepted(const accepted& work, const http::request& message,
                                                    http::responder& out) {
     if (work.parsed.idempotency_key) {
--- a/packages/daemon/src/control.cpp
+++ b/packages/daemon/src/control.cpp
@@ -3,6 +3,7 @@
 #include "internal/clock.hpp"
 
 #include <rattanbay/base/hash.hpp>
+#include <rattanbay/base/json.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -36,7 +37,7 @@
 
 /// Load report of an endpoint's answer, or nothing when it is malformed.
 std::optional<routing::load_report> parse_load(const std::string& body) {
-    const nlohmann::json report = nlohmann::json::parse(body, nullptr, false);
+    const nlohmann::json report = base::parse_json<nlohmann::json>(body);
     if (!report.is_object()) {
         return std::nullopt;
     }
--- a/packages/daemon/src/internal/caller_handler.hpp
+++ b/packages/daemon/src/internal/caller_handler.hpp
@@ -30,6 +30,7 @@
     };
 
     asio::awaitable<void> run(const http::request& message, http::responder& out);
+    asio::awaitable<void> reject(base::request_id id, base::problem problem, http::responder& out);
     asio::awaitable<void> run_accepted(const accepted& work, const http::request& message,
                                        http::responder& out);
     asio::awaitable<void> run_keyed(const accepted& work, ledger::key key, const http::request& message,
--- a/packages/daemon/src/run_driver.cpp
+++ b/packages/daemon/src/run_driver.cpp
@@ -3,6 +3,7 @@
 #include "internal/clock.hpp"
 
 #include <rattanbay/base/hash.hpp>
+#include <rattanbay/base/json.hpp>
 #include <rattanbay/caller/event_stream.hpp>
 
 #include <boost/asio/co_spawn.hpp>
@@ -282,7 +283,7 @@
 }
 
 void run_driver::take_chunk(open_attempt& attempt, const std::string& data) {
-    const json chunk = json::parse(data, nullptr, false);
+    const json chunk = base::parse_json<json>(data);
     const std::optional<std::uint64_t> count = parse_token_count(chunk);
     attempt.token_count = count ? count : attempt.token_count;
     std::optional<pipeline::attempt_token> token = parse_chunk(attempt.request.attempt, chunk);
--- a/packages/daemon/test/path_test.cpp
+++ b/packages/daemon/test/path_test.cpp
@@ -77,6 +77,21 @@
     BOOST_TEST(world.run(0, "encode", R"({"input":1})")->status == 200);
 }
 
+// Guards against a stack overrun by a body that is nested too deep, also from a caller without a token,
+// and against the body of an unknown caller being parsed at all.
+BOOST_AUTO_TEST_CASE(a_body_nested_too_deep_is_refused) {
+    installation world(1);
+    BOOST_REQUIRE(world.await_ready(1));
+    constexpr std::size_t levels = 100'000;
+    const std::string body = "{\"input\":" + std::string(levels, '[') + std::string(levels, ']') + "}";
+    http::request unknown{"POST", "/v1/pipelines/encode/runs", {}, body};
+    BOOST_TEST(world.exchange(world.caller_address(0), unknown)->status == 401);
+    const base::result<http::response> known = world.run(0, "encode", body);
+    BOOST_TEST(body_of(known).at("outcome") == "not_run");
+    BOOST_TEST(known->status == 400);
+    BOOST_TEST(world.run(0, "encode", R"({"input":1})")->status == 200);
+}
+
 // Guards against a new document that does not come into force at every daemon, also at one whose
 // platform connection fails.
 BOOST_AUTO_TEST_CASE(a_new_document_comes_into_force_everywhere) {
--- a/packages/ledger/src/internal/record.cpp
+++ b/packages/ledger/src/internal/record.cpp
@@ -1,5 +1,7 @@
 #include "internal/record.hpp"
 
+#include <rattanbay/base/json.hpp>
+
 #include <nlohmann/json.hpp>
 
 #include <charconv>
@@ -138,7 +140,7 @@
 
 base::result<record> decode_head(std::string_view text) {
     try {
-        const json value = json::parse(text);
+        const json value = base::parse_json<json>(text);
         record read;
         read.head.commit = read_hex(value.at("commit").get<std::string>());
         read.head.sealed = value.at("sealed").get<bool>();
@@ -160,7 +162,7 @@
 
 base::result<std::vector<record_entry>> decode_segment(std::string_view text) {
     try {
-        return read_entries(json::parse(text));
+        return read_entries(base::parse_json<json>(text));
     } catch (const json::exception& e) {
         return base::fail(base::error_code::invalid_input,
                           std::string("a segment of a ledger is damaged: ") + e.what());
--- a/packages/object_api/src/http_mapping.cpp
+++ b/packages/object_api/src/http_mapping.cpp
@@ -1,3 +1,4 @@
+#include <rattanbay/base/json.hpp>
 #include <rattanbay/object_api/http_mapping.hpp>
 
 #include <nlohmann/json.hpp>
@@ -144,7 +145,11 @@
         return failed{base::error{base::error_code::unavailable,
                                   "the platform answered with status " + std::to_string(response.status)}};
     }
-    const json body = response.body.empty() ? json::object() : json::parse(response.body);
+    const json body = response.body.empty() ? json::object() : base::parse_json<json>(response.body);
+    if (body.is_discarded()) {
+        return failed{base::error{base::error_code::protocol_violation,
+                                  "the platform's answer is not JSON or nested too deep"}};
+    }
     if (is_conflict) {
         return conflict{version_of(body)};
     }
