Send the pieces of a stage together

Change: the scheduler queues stages. Stages of which pieces were sent go first; others are begun whole, or in parts only when no call or no endpoint could take them whole. Other large results pass a stage that lacks room as long as it can wait for the next call. Ruled out before: engines that are slow to take requests (first byte 178 ms p50), pools without slots (calls of the two later pools were rarely waited for).

--- a/packages/daemon/src/internal/piece_pool.hpp
+++ b/packages/daemon/src/internal/piece_pool.hpp
@@ -34,9 +34,6 @@
 /// Takes what became of a stage; runs on the control strand.
 using stage_handler = std::function<void(const stage_result&)>;
 
-/// Number of a stage that is being done.
-using stage_ticket = std::uint64_t;
-
 /// Has pieces made by the worker pools that this daemon schedules, and gives results up. It runs on
 /// the control strand.
 class piece_pool : public std::enable_shared_from_this<piece_pool> {
@@ -44,10 +41,10 @@
     piece_pool(relay_state& relay, control_strand strand);
 
     /// Queues the pieces of a stage. `done` is called once, unless the stage is cancelled.
-    stage_ticket make(stage_request request, stage_handler done);
+    relay::stage_ticket make(stage_request request, stage_handler done);
 
     /// Gives a stage up.
-    void cancel(stage_ticket ticket);
+    void cancel(relay::stage_ticket ticket);
 
     /// Tells the holders of results that they are no longer needed.
     void release(const base::service_name& service, const std::vector<std::string>& handles);
@@ -61,7 +58,7 @@
     };
 
     struct piece_job {
-        stage_ticket stage = 0;
+        relay::stage_ticket stage = 0;
         std::size_t piece = 0;
         unsigned tries = 0;
     };
@@ -90,15 +87,16 @@
     bool may_repeat(const base::service_name& service);
     void finish_piece(relay::piece_ticket ticket, const std::string& handle);
     void fail_piece(relay::piece_ticket ticket, relay::piece_failure failure);
-    void drop(std::map<stage_ticket, stage_job>::iterator stage);
+    void fail_stage(relay::stage_ticket ticket, relay::piece_failure failure);
+    void drop(std::map<relay::stage_ticket, stage_job>::iterator stage);
     asio::awaitable<void> flush_releases();
     asio::awaitable<void> send_release(base::address holder, std::vector<std::string> handles);
 
     relay_state& relay_;
     control_strand strand_;
-    stage_ticket stage_tickets_ = 0;
+    relay::stage_ticket stage_tickets_ = 0;
     relay::piece_ticket piece_tickets_ = 0;
-    std::map<stage_ticket, stage_job> stages_;
+    std::map<relay::stage_ticket, stage_job> stages_;
     std::map<relay::piece_ticket, piece_job> pieces_;
     std::map<base::service_name, line> lines_;
     std::map<base::address, std::vector<std::string>> releases_;
--- a/packages/daemon/src/piece_pool.cpp
+++ b/packages/daemon/src/piece_pool.cpp
@@ -40,9 +40,9 @@
     : relay_(relay)
     , strand_(strand) {}
 
-stage_ticket piece_pool::make(stage_request request, stage_handler done) {
+relay::stage_ticket piece_pool::make(stage_request request, stage_handler done) {
     const base::service_name service = request.service;
-    const stage_ticket ticket = ++stage_tickets_;
+    const relay::stage_ticket ticket = ++stage_tickets_;
     if (!configure(service)) {
         done(tl::unexpected(relay::piece_failure::failed));
         return ticket;
@@ -53,47 +53,42 @@
     job.handles.resize(request.order.pieces);
     stages_.emplace(ticket, std::move(job));
     const base::time_point time = now();
+    std::vector<relay::waiting_piece> waiting;
     for (std::size_t piece = 0; piece < request.order.pieces; ++piece) {
-        relay::waiting_piece waiting;
-        waiting.ticket = ++piece_tickets_;
-        waiting.order = relay::piece_order{request.order.call, request.order.stage, piece, {},
-                                           request.order.key,  request.order.inputs};
-        waiting.near = request.near;
-        waiting.result_bytes = request.order.result_bytes;
-        waiting.arrival = time;
-        waiting.due = request.due;
-        waiting.latest = request.latest;
-        pieces_.emplace(waiting.ticket, piece_job{ticket, piece, 0});
+        relay::waiting_piece next;
+        next.ticket = ++piece_tickets_;
+        next.stage = ticket;
+        next.order = relay::piece_order{request.order.call, request.order.stage, piece, {},
+                                        request.order.key,  request.order.inputs};
+        next.near = request.near;
+        next.result_bytes = request.order.result_bytes;
+        next.arrival = time;
+        next.due = request.due;
+        next.latest = request.latest;
+        pieces_.emplace(next.ticket, piece_job{ticket, piece, 0});
         if (budget != serving->budgets.end()) {
             budget->second->count_request(time);
         }
-        const relay::piece_ticket number = waiting.ticket;
-        if (!lines_[service].scheduler.add(std::move(waiting), time)) {
-            fail_piece(number, relay::piece_failure::late);
-            break;
-        }
+        waiting.push_back(std::move(next));
+    }
+    if (waiting.empty() || !lines_[service].scheduler.add(std::move(waiting), time)) {
+        fail_stage(ticket, relay::piece_failure::late);
     }
     pump(service);
     return ticket;
 }
 
-void piece_pool::cancel(stage_ticket ticket) {
+void piece_pool::cancel(relay::stage_ticket ticket) {
     const auto it = stages_.find(ticket);
     if (it != stages_.end()) {
         drop(it);
     }
 }
 
-void piece_pool::drop(std::map<stage_ticket, stage_job>::iterator stage) {
+void piece_pool::drop(std::map<relay::stage_ticket, stage_job>::iterator stage) {
     const base::service_name service = stage->second.request.service;
-    relay::piece_scheduler& scheduler = lines_[service].scheduler;
-    std::erase_if(pieces_, [&](const auto& row) {
-        if (row.second.stage != stage->first) {
-            return false;
-        }
-        scheduler.cancel(row.first);
-        return true;
-    });
+    lines_[service].scheduler.cancel(stage->first);
+    std::erase_if(pieces_, [stage](const auto& row) { return row.second.stage == stage->first; });
     const std::vector<std::string> made = std::move(stage->second.handles);
     stages_.erase(stage);
     release(service, made);
@@ -136,8 +131,8 @@
 void piece_pool::pump(const base::service_name& service) {
     configure(service);
     line& here = lines_[service];
-    for (const relay::piece_ticket late : here.scheduler.expire(now())) {
-        fail_piece(late, relay::piece_failure::late);
+    for (const relay::stage_ticket late : here.scheduler.expire(now())) {
+        fail_stage(late, relay::piece_failure::late);
     }
     while (std::optional<relay::piece_batch> batch = here.scheduler.next(now())) {
         const std::shared_ptr<piece_pool> self = shared_from_this();
@@ -310,10 +305,16 @@
 
 void piece_pool::fail_piece(relay::piece_ticket ticket, relay::piece_failure failure) {
     const auto it = pieces_.find(ticket);
-    if (it == pieces_.end()) {
+    if (it != pieces_.end()) {
+        fail_stage(it->second.stage, failure);
+    }
+}
+
+void piece_pool::fail_stage(relay::stage_ticket ticket, relay::piece_failure failure) {
+    const auto stage = stages_.find(ticket);
+    if (stage == stages_.end()) {
         return;
     }
-    const auto stage = stages_.find(it->second.stage);
     const stage_handler done = std::move(stage->second.done);
     drop(stage);
     done(tl::unexpected(failure));
--- a/packages/relay/include/rattanbay/relay/piece_scheduler.hpp
+++ b/packages/relay/include/rattanbay/relay/piece_scheduler.hpp
@@ -20,6 +20,9 @@
 /// Number of a piece, unique within its scheduler.
 using piece_ticket = std::uint64_t;
 
+/// Number of a stage of a request, unique within its scheduler.
+using stage_ticket = std::uint64_t;
+
 /// An endpoint of a worker pool that takes work.
 struct pool_endpoint {
     base::endpoint_id id;
@@ -30,6 +33,8 @@
 /// A piece that waits for a call.
 struct waiting_piece {
     piece_ticket ticket = 0;
+    /// The stage that needs the piece.
+    stage_ticket stage = 0;
     piece_order order;
     /// Where its result will be used; empty when that is not known.
     base::failure_domain near;
@@ -54,25 +59,28 @@
 };
 
 /// Decides which pieces of one service go into which call. A call takes the same time whether it
-/// carries one piece or several, so that pieces of all requests share calls; pieces that are due first
-/// go first, and those that have missed their objective last. Large results are made where they are
-/// used, and an endpoint is given no more results than it has room for. One thread at a time.
+/// carries one piece or several, so that pieces of all requests share calls; stages that are due first
+/// go first, and those that have missed their objective last. The pieces of a stage go together, as the
+/// results of a part of them take room and are of no use until the others are made. Large results are
+/// made where they are used, and an endpoint is given no more results than it has room for. One thread
+/// at a time.
 class piece_scheduler {
 public:
     /// Replaces the limits and the endpoints; what is known of endpoints that stay is kept.
     void configure(const config::piece_limits& limits, const std::vector<pool_endpoint>& endpoints);
 
-    /// Queues a piece; false when it cannot begin in time behind those that go first.
-    bool add(waiting_piece piece, base::time_point now);
+    /// Queues all pieces of a stage, which differ in their tickets and orders only; false when they
+    /// cannot begin in time behind those that go first.
+    bool add(std::vector<waiting_piece> pieces, base::time_point now);
 
     /// Queues a piece once more after its call failed.
     void put_back(waiting_piece piece);
 
-    /// Removes a piece that is no longer needed.
-    void cancel(piece_ticket ticket);
+    /// Removes the pieces of a stage that is no longer needed.
+    void cancel(stage_ticket stage);
 
-    /// Removes and returns the pieces that can no longer begin in time.
-    std::vector<piece_ticket> expire(base::time_point now);
+    /// Removes the pieces that can no longer begin in time and returns their stages.
+    std::vector<stage_ticket> expire(base::time_point now);
 
     /// The next call to send, or nothing until something changes.
     std::optional<piece_batch> next(base::time_point now);
@@ -87,7 +95,8 @@
     /// A result is no longer needed.
     void released(const std::string& handle);
 
-    std::size_t waiting() const { return queue_.size(); }
+    /// Number of pieces that wait.
+    std::size_t waiting() const { return waiting_; }
 
     /// Whether calls may be sent later without another event: a wait for room, for an endpoint near
     /// the use of a result, or for the end of an ejection.
@@ -111,20 +120,40 @@
         base::time_point expiry;
     };
 
-    using place = std::pair<base::time_point, piece_ticket>;
+    /// The pieces of one stage that wait.
+    struct waiting_stage {
+        std::vector<waiting_piece> pieces;
+        /// Whether other pieces of the stage have been sent.
+        bool begun = false;
+    };
+
+    /// A call that is being filled.
+    struct open_call {
+        endpoint_state* endpoint = nullptr;
+        std::size_t pieces = 0;
+        std::uint64_t bytes = 0;
+        /// Whether room is kept for a stage that goes before those that follow.
+        bool keeps_room = false;
+    };
+
+    using place = std::pair<base::time_point, stage_ticket>;
+    using stage_queue = std::map<place, waiting_stage>;
 
     std::size_t pieces_ahead(const waiting_piece& piece, base::time_point now) const;
     void forget_expired(base::time_point now);
     std::size_t free_calls(const endpoint_state& state) const;
-    bool may_take(const endpoint_state& state, const waiting_piece& piece, std::uint64_t chosen_bytes,
-                  base::time_point now) const;
+    bool is_placed_well(const endpoint_state& state, const waiting_piece& piece, base::time_point now) const;
+    std::size_t room_for(const open_call& call, const waiting_piece& piece) const;
+    std::size_t takes(open_call& call, const waiting_stage& stage, base::time_point now) const;
+    std::vector<stage_queue::iterator> order(base::time_point now);
     std::vector<waiting_piece> take(endpoint_state& state, base::time_point now);
     base::duration call_time(std::size_t pieces) const;
     base::duration wait_behind(std::size_t pieces) const;
 
     config::piece_limits limits_;
     std::map<base::endpoint_id, endpoint_state> endpoints_;
-    std::map<place, waiting_piece> queue_;
+    stage_queue queue_;
+    std::size_t waiting_ = 0;
     std::map<std::string, result_state> results_;
 };
 
--- a/packages/relay/src/piece_scheduler.cpp
+++ b/packages/relay/src/piece_scheduler.cpp
@@ -1,6 +1,8 @@
 #include <rattanbay/relay/piece_scheduler.hpp>
 
 #include <algorithm>
+#include <cassert>
+#include <iterator>
 
 namespace rattanbay::relay {
 
@@ -15,12 +17,8 @@
 /// Failures in a row from which an endpoint is ejected, and for how long.
 constexpr std::uint32_t failures_to_eject = 2;
 constexpr std::chrono::seconds ejection{2};
-/// Share of an endpoint's room that is planned with, as sizes of results are estimates.
-constexpr double usable_room = 1.0;
-
-std::uint64_t share_of(std::uint64_t bytes, double share) {
-    return static_cast<std::uint64_t>(static_cast<double>(bytes) * share);
-}
+/// Stages that are looked at to fill one call; bounds the work when many wait for room.
+constexpr std::size_t most_looked_at = 100;
 
 } // namespace
 
@@ -49,41 +47,57 @@
     return std::chrono::duration_cast<base::duration>(full_call * calls);
 }
 
-bool piece_scheduler::add(waiting_piece piece, base::time_point now) {
-    if (now + wait_behind(pieces_ahead(piece, now)) > piece.latest) {
+bool piece_scheduler::add(std::vector<waiting_piece> pieces, base::time_point now) {
+    assert(!pieces.empty());
+    const waiting_piece& first = pieces.front();
+    if (now + wait_behind(pieces_ahead(first, now)) > first.latest) {
         return false;
     }
-    put_back(std::move(piece));
+    const place at(first.due, first.stage);
+    waiting_ += pieces.size();
+    queue_[at] = waiting_stage{std::move(pieces), false};
     return true;
 }
 
 std::size_t piece_scheduler::pieces_ahead(const waiting_piece& piece, base::time_point now) const {
-    const auto first_in_time = queue_.lower_bound(place(now, 0));
-    const auto own_place = queue_.lower_bound(place(piece.due, piece.ticket));
-    const auto count = [](auto from, auto to) { return static_cast<std::size_t>(std::distance(from, to)); };
-    if (piece.due >= now) {
-        return count(first_in_time, own_place);
+    const place first_in_time(now, 0);
+    const place own(piece.due, piece.stage);
+    std::size_t out = 0;
+    for (const auto& row : queue_) {
+        const bool in_time = row.first >= first_in_time;
+        const bool earlier = row.first < own;
+        const bool ahead = piece.due >= now ? in_time && earlier : in_time || earlier;
+        out += ahead || row.second.begun ? row.second.pieces.size() : 0;
     }
-    return count(first_in_time, queue_.end()) + count(queue_.begin(), own_place);
+    return out;
 }
 
 void piece_scheduler::put_back(waiting_piece piece) {
-    const place at(piece.due, piece.ticket);
-    queue_.emplace(at, std::move(piece));
+    waiting_stage& stage = queue_[place(piece.due, piece.stage)];
+    stage.begun = true;
+    stage.pieces.push_back(std::move(piece));
+    ++waiting_;
 }
 
-void piece_scheduler::cancel(piece_ticket ticket) {
-    std::erase_if(queue_, [ticket](const auto& row) { return row.first.second == ticket; });
+void piece_scheduler::cancel(stage_ticket ticket) {
+    for (auto it = queue_.begin(); it != queue_.end(); ++it) {
+        if (it->first.second == ticket) {
+            waiting_ -= it->second.pieces.size();
+            queue_.erase(it);
+            return;
+        }
+    }
 }
 
-std::vector<piece_ticket> piece_scheduler::expire(base::time_point now) {
-    std::vector<piece_ticket> out;
+std::vector<stage_ticket> piece_scheduler::expire(base::time_point now) {
+    std::vector<stage_ticket> out;
     for (auto it = queue_.begin(); it != queue_.end();) {
-        const bool late = it->second.latest < now;
-        if (late) {
-            out.push_back(it->first.second);
+        const auto here = it++;
+        if (here->second.pieces.front().latest < now) {
+            out.push_back(here->first.second);
+            waiting_ -= here->second.pieces.size();
+            queue_.erase(here);
         }
-        it = late ? queue_.erase(it) : std::next(it);
     }
     return out;
 }
@@ -99,19 +113,13 @@
 
 std::size_t piece_scheduler::free_calls(const endpoint_state& state) const {
     // A full call may wait at the endpoint, so that it has work at once when the call before ends.
-    const bool full_call_waits = queue_.size() >= limits_.batch;
+    const bool full_call_waits = waiting_ >= limits_.batch;
     const std::size_t most = limits_.slots + (full_call_waits && limits_.queue > 0 ? 1 : 0);
     return most > state.calls ? most - state.calls : 0;
 }
 
-bool piece_scheduler::may_take(const endpoint_state& state, const waiting_piece& piece,
-                               std::uint64_t chosen_bytes, base::time_point now) const {
-    const std::uint64_t used = state.reserved + state.held + chosen_bytes;
-    const std::uint64_t room = share_of(limits_.result_room_bytes, usable_room);
-    // An endpoint that holds nothing takes one result of any size.
-    if (room > 0 && used > 0 && used + piece.result_bytes > room) {
-        return false;
-    }
+bool piece_scheduler::is_placed_well(const endpoint_state& state, const waiting_piece& piece,
+                                     base::time_point now) const {
     const bool is_near = piece.near.empty() || piece.near == state.listed.failure_domain;
     if (is_near || piece.result_bytes < large_result || now - piece.arrival >= near_wait) {
         return true;
@@ -121,31 +129,82 @@
     });
 }
 
-std::vector<waiting_piece> piece_scheduler::take(endpoint_state& state, base::time_point now) {
-    // Pieces in time first, in the order of their due times; then those that are late already.
-    const auto first_in_time = queue_.lower_bound(place(now, 0));
-    std::vector<std::map<place, waiting_piece>::iterator> chosen;
-    std::uint64_t bytes = 0;
-    const auto choose_from = [&](auto it, auto end) {
-        for (; it != end && chosen.size() < limits_.batch; ++it) {
-            if (may_take(state, it->second, bytes, now)) {
-                bytes += it->second.result_bytes;
-                chosen.push_back(it);
+std::size_t piece_scheduler::room_for(const open_call& call, const waiting_piece& piece) const {
+    if (limits_.result_room_bytes == 0 || piece.result_bytes == 0) {
+        return limits_.batch;
+    }
+    const std::uint64_t used = call.endpoint->reserved + call.endpoint->held + call.bytes;
+    const std::uint64_t left = limits_.result_room_bytes - std::min(used, limits_.result_room_bytes);
+    const std::size_t results = left / piece.result_bytes;
+    // An endpoint that holds nothing takes one result of any size.
+    return used == 0 ? std::max<std::size_t>(1, results) : results;
+}
+
+std::size_t piece_scheduler::takes(open_call& call, const waiting_stage& stage, base::time_point now) const {
+    const waiting_piece& first = stage.pieces.front();
+    const std::size_t all = stage.pieces.size();
+    const bool is_large = first.result_bytes >= large_result;
+    if (!is_placed_well(*call.endpoint, first, now) || (is_large && call.keeps_room && !stage.begun)) {
+        return 0;
+    }
+    const std::size_t room = room_for(call, first);
+    const std::size_t most = std::min({all, limits_.batch - call.pieces, room});
+    if (stage.begun || most == all) {
+        return most;
+    }
+    // Other large results may pass a stage that lacks room as long as it can wait for the next call.
+    call.keeps_room = call.keeps_room || (room < all && first.due < now + call_time(limits_.batch));
+    const bool never_whole = all > limits_.batch || (limits_.result_room_bytes > 0 &&
+                                                     all * first.result_bytes > limits_.result_room_bytes);
+    return never_whole && call.pieces == 0 ? most : 0;
+}
+
+std::vector<piece_scheduler::stage_queue::iterator> piece_scheduler::order(base::time_point now) {
+    std::vector<stage_queue::iterator> out;
+    const stage_queue::iterator first_in_time = queue_.lower_bound(place(now, 0));
+    const auto collect = [&out](stage_queue::iterator it, stage_queue::iterator end, bool begun) {
+        for (; it != end && out.size() < most_looked_at; ++it) {
+            if (it->second.begun == begun) {
+                out.push_back(it);
             }
         }
     };
-    choose_from(first_in_time, queue_.end());
-    choose_from(queue_.begin(), first_in_time);
+    // Stages of which pieces are made already take up room until they are whole. Then come those that
+    // can be in time, in the order of their due times, and then those that are late already.
+    collect(queue_.begin(), queue_.end(), true);
+    collect(first_in_time, queue_.end(), false);
+    collect(queue_.begin(), first_in_time, false);
+    return out;
+}
+
+std::vector<waiting_piece> piece_scheduler::take(endpoint_state& state, base::time_point now) {
+    open_call call{&state};
+    std::vector<std::pair<stage_queue::iterator, std::size_t>> chosen;
+    for (const stage_queue::iterator it : order(now)) {
+        const std::size_t count = call.pieces < limits_.batch ? takes(call, it->second, now) : 0;
+        if (count > 0) {
+            chosen.emplace_back(it, count);
+            call.pieces += count;
+            call.bytes += count * it->second.pieces.front().result_bytes;
+        }
+    }
     // A call that only waits at the endpoint is worth sending when no further piece could join it.
-    if (state.calls >= limits_.slots && chosen.size() < limits_.batch) {
+    if (state.calls >= limits_.slots && call.pieces < limits_.batch) {
         return {};
     }
     std::vector<waiting_piece> out;
-    for (const auto& it : chosen) {
-        out.push_back(std::move(it->second));
-        queue_.erase(it);
+    for (const std::pair<stage_queue::iterator, std::size_t>& row : chosen) {
+        std::vector<waiting_piece>& pieces = row.first->second.pieces;
+        const auto end = pieces.begin() + static_cast<std::ptrdiff_t>(row.second);
+        std::move(pieces.begin(), end, std::back_inserter(out));
+        pieces.erase(pieces.begin(), end);
+        row.first->second.begun = true;
+        if (pieces.empty()) {
+            queue_.erase(row.first);
+        }
     }
-    state.reserved += bytes;
+    waiting_ -= out.size();
+    state.reserved += call.bytes;
     return out;
 }
 
