Give results up once their endpoint has fetched them

Change: a request that is not to be sent again gives its results up after the time that fetching them takes: 60 ms and the time of their bytes on two links, whose rate the document now has (result_link_mbps). A request with attempts left still keeps them until the first event.

The test results_are_given_up_once_they_are_fetched fails without the change.

--- a/packages/config/include/rattanbay/config/relay_document.hpp
+++ b/packages/config/include/rattanbay/config/relay_document.hpp
@@ -89,6 +89,8 @@
     std::uint64_t result_room_bytes = 0;
     /// How long a result is kept.
     base::duration result_lifetime{};
+    /// Rate at which results are fetched, in megabits a second; 0 when it is not known.
+    double result_link_mbps = 0;
 };
 
 /// A service that requests or pieces are relayed to.
--- a/packages/config/src/relay_reader.cpp
+++ b/packages/config/src/relay_reader.cpp
@@ -127,6 +127,8 @@
     out.piece_time = read_fraction_ms(reader, "piece_ms");
     out.result_room_bytes = reader.integer("result_room_bytes", 0, max_count).value_or(0);
     out.result_lifetime = read_fraction_ms(reader, "result_lifetime_ms");
+    out.result_link_mbps =
+        reader.number("result_link_mbps", 0, static_cast<double>(max_count), presence::optional).value_or(0);
     reader.report_unknown_keys();
     return out;
 }
--- a/packages/config/test/relay_document_test.cpp
+++ b/packages/config/test/relay_document_test.cpp
@@ -20,7 +20,7 @@
         "services": [
           {"name": "board", "max_connections": 360,
            "pieces": {"slots": 1, "queue": 2, "batch": 8, "call_ms": 150, "piece_ms": 1.5,
-                      "result_room_bytes": 51000000, "result_lifetime_ms": 4000}},
+                      "result_room_bytes": 51000000, "result_lifetime_ms": 4000, "result_link_mbps": 10000}},
           {"name": "model", "max_connections": 360, "engine": {"batch": 64, "kv_tokens": 332768}}],
         "routes": [
           {"name": "draft", "host": "one.example", "path_prefix": "/draft/", "repeat": "resumable",
@@ -57,6 +57,7 @@
     const config::piece_limits& pieces = *relay.services.at(base::service_name("board")).pieces;
     BOOST_CHECK(pieces.piece_time == std::chrono::microseconds(1500));
     BOOST_TEST(pieces.result_room_bytes == 51'000'000U);
+    BOOST_TEST(pieces.result_link_mbps == 10'000);
     BOOST_TEST(relay.services.at(base::service_name("model")).engine->kv_tokens == 332768U);
     BOOST_TEST(relay.accounts_by_key.at("bb").name.text() == "khi");
     BOOST_TEST(relay.accounts_by_key.at("aa").urgency.value() == 0);
--- a/packages/daemon/src/input_stages.cpp
+++ b/packages/daemon/src/input_stages.cpp
@@ -17,6 +17,10 @@
 /// How much earlier than necessary a stage begins whose results are needed only with those of a
 /// longer chain; results take up room at the endpoints that make them until they are used.
 constexpr std::chrono::milliseconds early_begin{150};
+/// Time of a request's way to its endpoint and of the endpoint's calls to the holders of the results.
+constexpr std::chrono::milliseconds fetch_margin{60};
+/// A result passes the links of its holder and of the endpoint.
+constexpr double links_of_a_fetch = 2;
 
 } // namespace
 
@@ -186,6 +190,23 @@
     return out;
 }
 
+base::duration input_stages::fetch_time() const {
+    constexpr double bits_per_byte = 8;
+    constexpr double bits_per_ms_and_mbps = 1000;
+    double ms = 0;
+    for (std::size_t n = 0; n < stages_.size(); ++n) {
+        const config::relay_stage& settings = plan_.route->stages[n];
+        const config::relay_service* const service = plan_.serving->find(settings.service);
+        if (!is_needed(n) && service != nullptr && service->pieces && service->pieces->result_link_mbps > 0) {
+            const double bits =
+                static_cast<double>(settings.result_bytes * stages_[n].handles.size()) * bits_per_byte;
+            ms += links_of_a_fetch * bits / (service->pieces->result_link_mbps * bits_per_ms_and_mbps);
+        }
+    }
+    return fetch_margin +
+           std::chrono::duration_cast<base::duration>(std::chrono::duration<double, std::milli>(ms));
+}
+
 std::string input_stages::times() const {
     const auto ms = [this](const std::optional<base::time_point>& at) {
         const base::duration since = at.value_or(start_) - start_;
--- a/packages/daemon/src/internal/input_stages.hpp
+++ b/packages/daemon/src/internal/input_stages.hpp
@@ -40,6 +40,9 @@
     /// Results of the stages that no other stage needs.
     std::vector<std::string> inputs() const;
 
+    /// Time in which an endpoint that was sent these results has fetched them.
+    base::duration fetch_time() const;
+
     /// Milliseconds from the begin of `make` to the begin and the end of each stage, for the log.
     std::string times() const;
 
--- a/packages/daemon/src/internal/relay_run.hpp
+++ b/packages/daemon/src/internal/relay_run.hpp
@@ -47,6 +47,7 @@
     };
 
     void depart();
+    void release_inputs_when_fetched();
     asio::awaitable<bool> prepare_inputs(http::responder& out);
     asio::awaitable<void> make_attempts(http::responder& out);
     std::optional<relay::chosen_endpoint> choose();
@@ -81,6 +82,7 @@
     base::service_name service_;
     base::time_point deadline_;
     std::shared_ptr<input_stages> stages_;
+    asio::steady_timer fetched_;
     /// Where the results of the stages are, if they are large; the request should run there.
     base::failure_domain near_;
     relay::event_splitter splitter_;
--- a/packages/daemon/src/relay_run.cpp
+++ b/packages/daemon/src/relay_run.cpp
@@ -47,6 +47,7 @@
     , service_(relay::draw_target(*input_.route, random_))
     , deadline_(input_.arrival +
                 std::min(input_.request.time_left.value_or(input_.route->timeout), input_.route->timeout))
+    , fetched_(executor)
     , last_event_(input_.request.resume_after) {}
 
 asio::awaitable<void> relay_run::execute(http::responder& out) {
@@ -65,11 +66,28 @@
     if (co_await prepare_inputs(out)) {
         co_await make_attempts(out);
     }
+    fetched_.cancel();
     if (stages_) {
         stages_->release();
     }
 }
 
+void relay_run::release_inputs_when_fetched() {
+    const bool needed_again = sent_ + 1 < input_.route->max_attempts;
+    if (!stages_ || needed_again) {
+        return;
+    }
+    // Endpoints fetch the results on the arrival of the request, long before it runs, and results take
+    // room that others wait for.
+    const std::shared_ptr<input_stages> stages = stages_;
+    fetched_.expires_after(stages->fetch_time());
+    fetched_.async_wait([stages](const boost::system::error_code& ec) {
+        if (!ec) {
+            stages->release();
+        }
+    });
+}
+
 void relay_run::depart() {
     departed_ = true;
     if (active_ != nullptr) {
@@ -233,6 +251,7 @@
         order.inputs = stages_->inputs();
     }
     current.connection->begin_send(relay_.protocol->write_call(input_.request, order), left());
+    release_inputs_when_fetched();
     const relay::attempt_end end = co_await read_answer(current, out);
     active_ = nullptr;
     if (current.connection->reusable()) {
