Schedule more urgent stages first

Change: the scheduler orders stages that can be in time by urgency, then by due time; the urgency of a request goes with its stages to the scheduler.

The test more_urgent_pieces_go_first guards it.

--- a/packages/daemon/src/input_stages.cpp
+++ b/packages/daemon/src/input_stages.cpp
@@ -128,6 +128,7 @@
     request.order.stage = stage;
     request.order.pieces = state.pieces;
     request.order.result_bytes = settings.result_bytes;
+    request.order.urgency = plan_.urgency;
     for (const std::size_t needed : settings.after) {
         const std::vector<std::string>& handles = stages_[needed].handles;
         request.order.inputs.insert(request.order.inputs.end(), handles.begin(), handles.end());
--- a/packages/daemon/src/internal/input_stages.hpp
+++ b/packages/daemon/src/internal/input_stages.hpp
@@ -18,6 +18,8 @@
     const relay::call* request = nullptr;
     const config::relay_route* route = nullptr;
     std::shared_ptr<const relay_serving> serving;
+    /// 0 goes first.
+    int urgency = 0;
     /// Where the request will run.
     base::failure_domain near;
     /// When the request has to begin to meet its objective, and when it is of no use.
--- a/packages/relay/include/rattanbay/relay/call.hpp
+++ b/packages/relay/include/rattanbay/relay/call.hpp
@@ -115,6 +115,8 @@
     std::vector<std::string> inputs;
     /// Usual size of one result.
     std::uint64_t result_bytes = 0;
+    /// Rank of the request, 0 goes first.
+    int urgency = 0;
 };
 
 /// Why a piece was not made.
--- a/packages/relay/include/rattanbay/relay/piece_scheduler.hpp
+++ b/packages/relay/include/rattanbay/relay/piece_scheduler.hpp
@@ -39,6 +39,8 @@
     /// Where its result will be used; empty when that is not known.
     base::failure_domain near;
     std::uint64_t result_bytes = 0;
+    /// 0 goes first.
+    int urgency = 0;
     base::time_point arrival;
     /// A piece that begins later than this makes its request miss its objective.
     base::time_point due;
@@ -59,11 +61,11 @@
 };
 
 /// Decides which pieces of one service go into which call. A call takes the same time whether it
-/// carries one piece or several, so that pieces of all requests share calls; stages that are due first
-/// go first, and those that have missed their objective last. The pieces of a stage go together, as the
-/// results of a part of them take room and are of no use until the others are made. Large results are
-/// made where they are used, and an endpoint is given no more results than it has room for. One thread
-/// at a time.
+/// carries one piece or several, so that pieces of all requests share calls; more urgent stages go
+/// first, among them those that are due first, and those that have missed their objective last. The pieces of
+/// a stage go together, as the results of a part of them take room and are of no use until the others are
+/// made. Large results are made where they are used, and an endpoint is given no more results than it has
+/// room for. One thread at a time.
 class piece_scheduler {
 public:
     /// Replaces the limits and the endpoints; what is known of endpoints that stay is kept.
@@ -139,14 +141,17 @@
     using place = std::pair<base::time_point, stage_ticket>;
     using stage_queue = std::map<place, waiting_stage>;
 
-    std::size_t pieces_ahead(const waiting_piece& piece, base::time_point now) const;
+    std::size_t pieces_ahead(const waiting_stage& stage, base::time_point now) const;
     void forget_expired(base::time_point now);
     std::size_t free_calls(const endpoint_state& state) const;
+    /// Whether one stage goes before another.
+    static bool goes_before(const waiting_stage& one, const waiting_stage& other, base::time_point now);
     bool is_placed_well(const endpoint_state& state, const waiting_piece& piece, base::time_point now) const;
     std::size_t room_for(const open_call& call, const waiting_piece& piece) const;
     std::size_t takes(open_call& call, const waiting_stage& stage, base::time_point now) const;
     std::vector<stage_queue::iterator> order(base::time_point now);
-    std::vector<waiting_piece> take(endpoint_state& state, base::time_point now);
+    std::vector<waiting_piece> take(endpoint_state& state, std::vector<stage_queue::iterator>& stages,
+                                    base::time_point now);
     base::duration call_time(std::size_t pieces) const;
     base::duration wait_behind(std::size_t pieces) const;
 
--- a/packages/relay/src/piece_scheduler.cpp
+++ b/packages/relay/src/piece_scheduler.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cassert>
 #include <iterator>
+#include <tuple>
 
 namespace rattanbay::relay {
 
@@ -49,25 +50,32 @@
 
 bool piece_scheduler::add(std::vector<waiting_piece> pieces, base::time_point now) {
     assert(!pieces.empty());
-    const waiting_piece& first = pieces.front();
-    if (now + wait_behind(pieces_ahead(first, now)) > first.latest) {
+    waiting_stage stage{std::move(pieces), false};
+    const waiting_piece& first = stage.pieces.front();
+    if (now + wait_behind(pieces_ahead(stage, now)) > first.latest) {
         return false;
     }
     const place at(first.due, first.stage);
-    waiting_ += pieces.size();
-    queue_[at] = waiting_stage{std::move(pieces), false};
+    waiting_ += stage.pieces.size();
+    queue_[at] = std::move(stage);
     return true;
 }
 
-std::size_t piece_scheduler::pieces_ahead(const waiting_piece& piece, base::time_point now) const {
-    const place first_in_time(now, 0);
-    const place own(piece.due, piece.stage);
+bool piece_scheduler::goes_before(const waiting_stage& one, const waiting_stage& other,
+                                  base::time_point now) {
+    // Stages of which pieces are made already take up room until they are whole. Then come those that
+    // can be in time, and then those that are late already.
+    const auto rank = [now](const waiting_stage& stage) {
+        const waiting_piece& first = stage.pieces.front();
+        return std::tuple(!stage.begun, first.due < now, first.urgency, first.due, first.stage);
+    };
+    return rank(one) < rank(other);
+}
+
+std::size_t piece_scheduler::pieces_ahead(const waiting_stage& stage, base::time_point now) const {
     std::size_t out = 0;
     for (const auto& row : queue_) {
-        const bool in_time = row.first >= first_in_time;
-        const bool earlier = row.first < own;
-        const bool ahead = piece.due >= now ? in_time && earlier : in_time || earlier;
-        out += ahead || row.second.begun ? row.second.pieces.size() : 0;
+        out += goes_before(row.second, stage, now) ? row.second.pieces.size() : 0;
     }
     return out;
 }
@@ -161,26 +169,25 @@
 
 std::vector<piece_scheduler::stage_queue::iterator> piece_scheduler::order(base::time_point now) {
     std::vector<stage_queue::iterator> out;
-    const stage_queue::iterator first_in_time = queue_.lower_bound(place(now, 0));
-    const auto collect = [&out](stage_queue::iterator it, stage_queue::iterator end, bool begun) {
-        for (; it != end && out.size() < most_looked_at; ++it) {
-            if (it->second.begun == begun) {
-                out.push_back(it);
-            }
-        }
-    };
-    // Stages of which pieces are made already take up room until they are whole. Then come those that
-    // can be in time, in the order of their due times, and then those that are late already.
-    collect(queue_.begin(), queue_.end(), true);
-    collect(first_in_time, queue_.end(), false);
-    collect(queue_.begin(), first_in_time, false);
+    out.reserve(queue_.size());
+    for (auto it = queue_.begin(); it != queue_.end(); ++it) {
+        out.push_back(it);
+    }
+    const std::size_t count = std::min(most_looked_at, out.size());
+    std::partial_sort(out.begin(), out.begin() + static_cast<std::ptrdiff_t>(count), out.end(),
+                      [now](const stage_queue::iterator& one, const stage_queue::iterator& other) {
+                          return goes_before(one->second, other->second, now);
+                      });
+    out.resize(count);
     return out;
 }
 
-std::vector<waiting_piece> piece_scheduler::take(endpoint_state& state, base::time_point now) {
+std::vector<waiting_piece> piece_scheduler::take(endpoint_state& state,
+                                                 std::vector<stage_queue::iterator>& stages,
+                                                 base::time_point now) {
     open_call call{&state};
     std::vector<std::pair<stage_queue::iterator, std::size_t>> chosen;
-    for (const stage_queue::iterator it : order(now)) {
+    for (const stage_queue::iterator& it : stages) {
         const std::size_t count = call.pieces < limits_.batch ? takes(call, it->second, now) : 0;
         if (count > 0) {
             chosen.emplace_back(it, count);
@@ -210,19 +217,24 @@
 
 std::optional<piece_batch> piece_scheduler::next(base::time_point now) {
     forget_expired(now);
-    std::vector<endpoint_state*> order;
+    std::vector<endpoint_state*> free_endpoints;
     for (auto& row : endpoints_) {
         endpoint_state& state = row.second;
         if (free_calls(state) > 0 && state.ejected_until <= now && state.full_until <= now) {
-            order.push_back(&state);
+            free_endpoints.push_back(&state);
         }
     }
-    std::stable_sort(order.begin(), order.end(), [](const endpoint_state* one, const endpoint_state* other) {
-        return std::pair(one->calls, one->reserved + one->held) <
-               std::pair(other->calls, other->reserved + other->held);
-    });
-    for (endpoint_state* state : order) {
-        std::vector<waiting_piece> pieces = take(*state, now);
+    if (free_endpoints.empty() || queue_.empty()) {
+        return std::nullopt;
+    }
+    std::stable_sort(free_endpoints.begin(), free_endpoints.end(),
+                     [](const endpoint_state* one, const endpoint_state* other) {
+                         return std::pair(one->calls, one->reserved + one->held) <
+                                std::pair(other->calls, other->reserved + other->held);
+                     });
+    std::vector<stage_queue::iterator> stages = order(now);
+    for (endpoint_state* state : free_endpoints) {
+        std::vector<waiting_piece> pieces = take(*state, stages, now);
         if (!pieces.empty()) {
             ++state->calls;
             return piece_batch{state->listed, std::move(pieces)};
--- a/packages/relay/test/piece_scheduler_test.cpp
+++ b/packages/relay/test/piece_scheduler_test.cpp
@@ -96,6 +96,20 @@
                boost::test_tools::per_element());
 }
 
+// Guards against a request that is served worse than less urgent ones that are due earlier.
+BOOST_FIXTURE_TEST_CASE(more_urgent_pieces_go_first, pool_world) {
+    scheduler.configure(limits, {endpoint("p1", "a", 1)});
+    for (const int urgency : {2, 1, 0, 0, 1}) {
+        relay::waiting_piece row = piece(900 + urgency);
+        row.urgency = urgency;
+        scheduler.add({row}, at_ms(0));
+    }
+    relay::waiting_piece late = piece(-10);
+    scheduler.add({late}, at_ms(0));
+    BOOST_TEST(tickets(scheduler.next(at_ms(0))) == (ticket_list{3, 4, 2, 5}),
+               boost::test_tools::per_element());
+}
+
 // Guards against a call with one piece that waits at a busy endpoint, where pieces that come later
 // cannot join it.
 BOOST_FIXTURE_TEST_CASE(only_a_full_call_waits_at_an_endpoint, pool_world) {
