Due times of stages allow for full calls and their wait

Change: the due time of a stage is computed with full calls and half a call of waiting for it and for the stages after it; when a stage is of no use any more is still computed with the least times. The estimates are a function of the relay package with tests of its own.

The test busy_pools_take_full_calls_and_a_wait fails with the former estimate.

--- a/packages/daemon/src/input_stages.cpp
+++ b/packages/daemon/src/input_stages.cpp
@@ -12,8 +12,6 @@
 
 namespace {
 
-/// Usual time between daemons, and of the wait for a call, for each stage.
-constexpr std::chrono::milliseconds usual_overhead{30};
 /// How much earlier than necessary a stage begins whose results are needed only with those of a
 /// longer chain; results take up room at the endpoints that make them until they are used.
 constexpr std::chrono::milliseconds early_begin{150};
@@ -36,23 +34,14 @@
         stages_[n].pieces = n < counts.size() ? counts[n] : 0;
         stages_[n].made = stages_[n].pieces == 0;
     }
-    estimate_times();
-}
-
-void input_stages::estimate_times() {
-    for (std::size_t n = stages_.size(); n > 0; --n) {
-        stage_state& state = stages_[n - 1];
-        const config::relay_service* const service = plan_.serving->find(plan_.route->stages[n - 1].service);
-        if (state.pieces > 0 && service != nullptr && service->pieces) {
-            const std::size_t together = std::min(state.pieces, service->pieces->batch);
-            state.own = service->pieces->call_time +
-                        service->pieces->piece_time * static_cast<std::int64_t>(together) + usual_overhead;
-        }
-        for (std::size_t other = n; other < stages_.size(); ++other) {
-            if (is_needed_by(n - 1, other)) {
-                state.rest = std::max(state.rest, stages_[other].own + stages_[other].rest);
-            }
-        }
+    std::vector<std::size_t> piece_counts;
+    for (const stage_state& row : stages_) {
+        piece_counts.push_back(row.pieces);
+    }
+    const std::vector<relay::stage_estimate> times = relay::estimate_stage_times(
+        plan_.route->stages, piece_counts, plan_.serving->routes->document().services);
+    for (std::size_t n = 0; n < stages_.size(); ++n) {
+        stages_[n].time = times[n];
     }
 }
 
@@ -77,14 +66,9 @@
     progress_.cancel();
 }
 
-bool input_stages::is_needed_by(std::size_t stage, std::size_t other) const {
-    const std::vector<std::size_t>& after = plan_.route->stages[other].after;
-    return std::ranges::find(after, stage) != after.end();
-}
-
 bool input_stages::is_needed(std::size_t stage) const {
     for (std::size_t other = 0; other < stages_.size(); ++other) {
-        if (is_needed_by(stage, other)) {
+        if (relay::is_needed_by(plan_.route->stages, stage, other)) {
             return true;
         }
     }
@@ -109,12 +93,13 @@
 bool input_stages::is_time_for(std::size_t stage) const {
     base::duration others{};
     for (std::size_t other = 0; other < stages_.size(); ++other) {
-        const bool open = other != stage && !stages_[other].made && !is_needed_by(stage, other);
+        const bool open =
+            other != stage && !stages_[other].made && !relay::is_needed_by(plan_.route->stages, stage, other);
         if (open) {
-            others = std::max(others, stages_[other].own + stages_[other].rest);
+            others = std::max(others, stages_[other].time.least.whole());
         }
     }
-    return stages_[stage].own + stages_[stage].rest + early_begin >= others;
+    return stages_[stage].time.least.whole() + early_begin >= others;
 }
 
 void input_stages::begin(std::size_t stage) {
@@ -137,8 +122,8 @@
         request.order.key = plan_.request->piece_key;
     }
     request.near = plan_.near;
-    request.due = plan_.due - state.rest - state.own;
-    request.latest = plan_.latest - state.rest - state.own;
+    request.due = plan_.due - state.time.busy.whole();
+    request.latest = plan_.latest - state.time.least.whole();
     const std::shared_ptr<input_stages> self = shared_from_this();
     router_->make(std::move(request), [self, stage](const stage_result& result) {
         asio::post(self->executor_, [self, stage, result]() { self->take(stage, result); });
@@ -166,7 +151,7 @@
     for (std::size_t n = 0; n < stages_.size(); ++n) {
         bool used = is_needed(n);
         for (std::size_t other = 0; other < stages_.size(); ++other) {
-            used = used && (!is_needed_by(n, other) || stages_[other].made);
+            used = used && (!relay::is_needed_by(plan_.route->stages, n, other) || stages_[other].made);
         }
         if (used) {
             release(n);
--- a/packages/daemon/src/internal/input_stages.hpp
+++ b/packages/daemon/src/internal/input_stages.hpp
@@ -59,18 +59,14 @@
         std::vector<std::string> handles;
         std::optional<base::time_point> begin_time;
         std::optional<base::time_point> end_time;
-        /// Time that the stage itself usually takes, and all that follow it.
-        base::duration own{};
-        base::duration rest{};
+        relay::stage_estimate time;
     };
 
-    void estimate_times();
     void begin_ready_stages();
     void begin(std::size_t stage);
     /// Whether a stage whose inputs are there has to begin now, so that it does not hold the others
     /// up.
     bool is_time_for(std::size_t stage) const;
-    bool is_needed_by(std::size_t stage, std::size_t other) const;
     bool is_needed(std::size_t stage) const;
     bool is_whole() const;
     void take(std::size_t stage, const stage_result& result);
--- a/packages/relay/include/rattanbay/relay.hpp
+++ b/packages/relay/include/rattanbay/relay.hpp
@@ -13,6 +13,7 @@
 /// - protocol.hpp: what the relay needs from a platform's protocol
 /// - resend_budget.hpp: share of the repeats that all daemons may make
 /// - route_table.hpp: routes by host and path
+/// - stage_times.hpp: estimates of the time that stages take
 
 #include <rattanbay/relay/attempt_rules.hpp>
 #include <rattanbay/relay/balancer.hpp>
@@ -22,3 +23,4 @@
 #include <rattanbay/relay/protocol.hpp>
 #include <rattanbay/relay/resend_budget.hpp>
 #include <rattanbay/relay/route_table.hpp>
+#include <rattanbay/relay/stage_times.hpp>
