Make pieces where their inputs are when these are larger

Pieces were made near the engine if their results were large; those of the last stage of a chain have small results, but each of them fetches all inputs of the stage before (8 of 60 KB).

Change: a stage whose inputs are larger than one of its results is made in the failure domain of its inputs, if an endpoint there is free within 60 ms; the scheduler counts the larger of both.

Test: pieces_with_large_inputs_are_made_where_the_inputs_are.

--- a/packages/daemon/src/input_stages.cpp
+++ b/packages/daemon/src/input_stages.cpp
@@ -117,11 +117,12 @@
     for (const std::size_t needed : settings.after) {
         const std::vector<std::string>& handles = stages_[needed].handles;
         request.order.inputs.insert(request.order.inputs.end(), handles.begin(), handles.end());
+        request.order.input_bytes += plan_.route->stages[needed].result_bytes * handles.size();
     }
     if (settings.after.empty()) {
         request.order.key = plan_.request->piece_key;
     }
-    request.near = plan_.near;
+    request.near = place_of(request.order);
     request.due = plan_.due - state.time.busy.whole();
     request.latest = plan_.latest - state.time.least.whole();
     const std::shared_ptr<input_stages> self = shared_from_this();
@@ -130,6 +131,16 @@
     });
 }
 
+base::failure_domain input_stages::place_of(const relay::stage_order& order) const {
+    // Each piece fetches all inputs, and its result is fetched once.
+    if (order.input_bytes <= order.result_bytes) {
+        return plan_.near;
+    }
+    // The pieces of a stage mostly share a call, so that the first input tells where the others are.
+    const std::optional<base::address> holder = plan_.relay->protocol->holder(order.inputs.front());
+    return holder ? plan_.relay->balancer.domain_at(*holder) : plan_.near;
+}
+
 void input_stages::take(std::size_t stage, const stage_result& result) {
     if (result) {
         stages_[stage].handles = *result;
--- a/packages/daemon/src/internal/input_stages.hpp
+++ b/packages/daemon/src/internal/input_stages.hpp
@@ -15,6 +15,7 @@
 
 /// What the stages of a request are planned by.
 struct stage_plan {
+    const relay_state* relay = nullptr;
     const relay::call* request = nullptr;
     const config::relay_route* route = nullptr;
     std::shared_ptr<const relay_serving> serving;
@@ -68,6 +69,7 @@
     /// up.
     bool is_time_for(std::size_t stage) const;
     bool is_needed(std::size_t stage) const;
+    base::failure_domain place_of(const relay::stage_order& order) const;
     bool is_whole() const;
     void take(std::size_t stage, const stage_result& result);
     void release_used();
--- a/packages/daemon/src/piece_pool.cpp
+++ b/packages/daemon/src/piece_pool.cpp
@@ -62,6 +62,7 @@
                                         request.order.key,  request.order.inputs};
         next.near = request.near;
         next.result_bytes = request.order.result_bytes;
+        next.transfer_bytes = std::max(request.order.result_bytes, request.order.input_bytes);
         next.urgency = request.order.urgency;
         next.arrival = time;
         next.due = request.due;
--- a/packages/daemon/src/relay_run.cpp
+++ b/packages/daemon/src/relay_run.cpp
@@ -107,7 +107,7 @@
     const std::optional<relay::chosen_endpoint> likely = choose();
     near_ = likely ? likely->failure_domain : shared_.settings.failure_domain;
     const base::duration run = relay_.balancer.usual_time(service_, size()).value_or(unmeasured_run);
-    stage_plan plan{&input_.request, input_.route, input_.serving, input_.urgency, near_, {}, {}};
+    stage_plan plan{&relay_, &input_.request, input_.route, input_.serving, input_.urgency, near_, {}, {}};
     plan.due = input_.arrival + objective - run;
     plan.latest = deadline_ - run / 2;
     stages_ = std::make_shared<input_stages>(pieces_, executor_, std::move(plan));
--- a/packages/peer/test/codec_test.cpp
+++ b/packages/peer/test/codec_test.cpp
@@ -99,7 +99,7 @@
 BOOST_AUTO_TEST_CASE(messages_about_pieces_survive_the_wire) {
     peer::make_pieces sent;
     sent.service = base::service_name("board");
-    sent.order = {base::request_id("r1"), 2, 3, "key", {"h1", "h2"}, 6000, 2};
+    sent.order = {base::request_id("r1"), 2, 3, "key", {"h1", "h2"}, 6000, 2, 9000};
     sent.near = base::failure_domain("b");
     sent.due_ms = -5;
     sent.latest_ms = 900;
@@ -115,6 +115,7 @@
     BOOST_TEST(read.order.inputs == sent.order.inputs, boost::test_tools::per_element());
     BOOST_TEST(read.order.result_bytes == 6000U);
     BOOST_TEST(read.order.urgency == 2);
+    BOOST_TEST(read.order.input_bytes == 9000U);
     BOOST_TEST(read.near.text() == "b");
     BOOST_TEST(read.due_ms == -5);
     BOOST_TEST(read.latest_ms == 900);
--- a/packages/relay/include/rattanbay/relay/balancer.hpp
+++ b/packages/relay/include/rattanbay/relay/balancer.hpp
@@ -71,6 +71,9 @@
     /// Whether the endpoint is listed and takes work.
     bool is_usable(const base::endpoint_id& endpoint) const;
 
+    /// Failure domain of the endpoint at an address; empty when none is listed there.
+    base::failure_domain domain_at(const base::address& address) const;
+
     /// Endpoints of the service that take work.
     std::vector<pool_endpoint> usable_endpoints(const base::service_name& service) const;
 
@@ -112,6 +115,7 @@
     base::random_source random_;
     std::map<base::endpoint_id, endpoint_state> endpoints_;
     std::map<base::service_name, std::vector<base::endpoint_id>> by_service_;
+    std::map<base::address, base::failure_domain> domains_;
     std::uint64_t generation_ = 0;
 };
 
--- a/packages/relay/include/rattanbay/relay/call.hpp
+++ b/packages/relay/include/rattanbay/relay/call.hpp
@@ -117,6 +117,8 @@
     std::uint64_t result_bytes = 0;
     /// Rank of the request, 0 goes first.
     int urgency = 0;
+    /// Usual size of all inputs, which each piece fetches.
+    std::uint64_t input_bytes = 0;
 };
 
 /// Why a piece was not made.
--- a/packages/relay/include/rattanbay/relay/piece_scheduler.hpp
+++ b/packages/relay/include/rattanbay/relay/piece_scheduler.hpp
@@ -36,9 +36,12 @@
     /// The stage that needs the piece.
     stage_ticket stage = 0;
     piece_order order;
-    /// Where its result will be used; empty when that is not known.
+    /// Where its inputs are or its result will be used, whichever is larger; empty when that is not
+    /// known.
     base::failure_domain near;
     std::uint64_t result_bytes = 0;
+    /// Bytes that cross failure domains when it is made elsewhere.
+    std::uint64_t transfer_bytes = 0;
     /// 0 goes first.
     int urgency = 0;
     base::time_point arrival;
@@ -62,10 +65,10 @@
 
 /// Decides which pieces of one service go into which call. A call takes the same time whether it
 /// carries one piece or several, so that pieces of all requests share calls; more urgent stages go
-/// first, among them those that are due first, and those that have missed their objective last. The pieces of
-/// a stage go together, as the results of a part of them take room and are of no use until the others are
-/// made. Large results are made where they are used, and an endpoint is given no more results than it has
-/// room for. One thread at a time.
+/// first, among them those that are due first, and those that have missed their objective last. The
+/// pieces of a stage go together, as the results of a part of them take room and are of no use until the
+/// others are made. Pieces that transfer much are made near their inputs or the use of their results,
+/// and an endpoint is given no more results than it has room for. One thread at a time.
 class piece_scheduler {
 public:
     /// Replaces the limits and the endpoints; what is known of endpoints that stay is kept.
--- a/packages/relay/src/balancer.cpp
+++ b/packages/relay/src/balancer.cpp
@@ -50,6 +50,7 @@
     const std::lock_guard<std::mutex> lock(mutex_);
     std::map<base::endpoint_id, endpoint_state> next;
     by_service_.clear();
+    domains_.clear();
     for (const object_api::vm& listed : vms.vms) {
         const base::endpoint_id id(listed.id.text());
         const auto it = endpoints_.find(id);
@@ -58,6 +59,7 @@
         state.listed = listed;
         if (next.emplace(id, std::move(state)).second) {
             by_service_[listed.service].push_back(id);
+            domains_[listed.address] = listed.failure_domain;
         }
     }
     endpoints_ = std::move(next);
@@ -209,6 +211,12 @@
     return it != endpoints_.end() && it->second.listed.state == object_api::vm_state::live;
 }
 
+base::failure_domain balancer::domain_at(const base::address& address) const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const auto it = domains_.find(address);
+    return it == domains_.end() ? base::failure_domain() : it->second;
+}
+
 std::vector<pool_endpoint> balancer::usable_endpoints(const base::service_name& service) const {
     const std::lock_guard<std::mutex> lock(mutex_);
     const auto it = by_service_.find(service);
--- a/packages/relay/src/piece_scheduler.cpp
+++ b/packages/relay/src/piece_scheduler.cpp
@@ -9,9 +9,10 @@
 
 namespace {
 
-/// Results of at least this size are made where they are used if that takes no long wait.
+/// Pieces that transfer at least this much are made near if that takes no long wait, and results of this
+/// size count as large where room is short.
 constexpr std::uint64_t large_result = 50 * 1024;
-/// Longest wait of a large result for an endpoint near its use.
+/// Longest wait of a piece for an endpoint that is near.
 constexpr std::chrono::milliseconds near_wait{60};
 /// How long an endpoint that has no room gets no work.
 constexpr std::chrono::milliseconds full_pause{100};
@@ -129,7 +130,7 @@
 bool piece_scheduler::is_placed_well(const endpoint_state& state, const waiting_piece& piece,
                                      base::time_point now) const {
     const bool is_near = piece.near.empty() || piece.near == state.listed.failure_domain;
-    if (is_near || piece.result_bytes < large_result || now - piece.arrival >= near_wait) {
+    if (is_near || piece.transfer_bytes < large_result || now - piece.arrival >= near_wait) {
         return true;
     }
     return std::ranges::none_of(endpoints_, [&piece, now](const auto& row) {
--- a/packages/relay/test/balancer_test.cpp
+++ b/packages/relay/test/balancer_test.cpp
@@ -107,6 +107,15 @@
     BOOST_TEST(homes.size() == 3U);
 }
 
+// Guards against results that are looked for in another failure domain than that of their holder.
+BOOST_FIXTURE_TEST_CASE(addresses_tell_the_failure_domain, three_endpoints) {
+    const base::address second = list.vms[1].address;
+    BOOST_TEST(balancer.domain_at(second).text() == "b");
+    list.vms.erase(list.vms.begin() + 1);
+    balancer.publish(list);
+    BOOST_TEST(balancer.domain_at(second).empty());
+}
+
 // Guards against an endpoint that inherits the failures of another one at its former address.
 BOOST_FIXTURE_TEST_CASE(an_endpoint_at_another_address_starts_anew, three_endpoints) {
     for (int n = 0; n < 2; ++n) {
--- a/packages/relay/test/piece_scheduler_test.cpp
+++ b/packages/relay/test/piece_scheduler_test.cpp
@@ -45,6 +45,7 @@
         out.order.call = base::request_id("r" + std::to_string(last_ticket));
         out.near = base::failure_domain(near);
         out.result_bytes = bytes;
+        out.transfer_bytes = bytes;
         out.arrival = at_ms(0);
         out.due = at_ms(due_ms);
         out.latest = at_ms(due_ms + 5000);
@@ -169,6 +170,18 @@
     BOOST_TEST(scheduler.next(at_ms(0)).has_value());
 }
 
+// Guards against small results that are made far from the large inputs that each of them needs.
+BOOST_FIXTURE_TEST_CASE(pieces_with_large_inputs_are_made_where_the_inputs_are, pool_world) {
+    for (int n = 0; n < 2; ++n) {
+        relay::waiting_piece row = piece(1000, 100, "b");
+        row.transfer_bytes = 500'000;
+        scheduler.add({row}, at_ms(0));
+        const std::optional<relay::piece_batch> batch = scheduler.next(at_ms(0));
+        BOOST_TEST(batch.has_value() == (n == 0));
+        BOOST_TEST((!batch || batch->endpoint.id.text() == "p2"));
+    }
+}
+
 // Guards against a piece that is held until it is of no use, though it was clear from the start that
 // it cannot begin in time.
 BOOST_FIXTURE_TEST_CASE(pieces_that_cannot_begin_in_time_are_refused_at_once, pool_world) {
