--- a/packages/membership/test/detector_test.cpp
+++ b/packages/membership/test/detector_test.cpp
@@ -125,7 +125,7 @@
         std::size_t stale = 0;
         for (std::size_t n = 0; n < size; ++n) {
             for (const peer::member_record& member : world.detector(n).members()) {
-                stale += std::ranges::count(earlier, member.id);
+                stale += static_cast<std::size_t>(std::ranges::count(earlier, member.id));
             }
         }
         BOOST_TEST(stale == 0U);
