Log and count what every answer about the VM list changed

vm_list_changed names the call that brought a list, its version, and the endpoints that became live, leaving or were removed. vm_list_answer_stale reports an answer that is older than the list in use, platform_call_delayed the calls that wait for their back-off. relay_ended names the list from which the endpoint was chosen, no longer the one in use when the request ended, and its age. Metrics show the version of the list and the time of the last answer about it.

--- a/packages/daemon/src/internal/shared_state.hpp
+++ b/packages/daemon/src/internal/shared_state.hpp
@@ -63,6 +63,8 @@
     base::snapshot<serving_state> serving;
     base::snapshot<member_view> members;
     base::snapshot<object_api::vm_list> vms;
+    /// Time of the last answer of the platform about the VM list.
+    std::atomic<base::time_point> vms_confirmed_at{base::time_point()};
     routing::router router;
     limits::account_limits account_limits;
     http::connection_pool endpoint_pool;
--- a/packages/daemon/src/internal/state_synchronizer.hpp
+++ b/packages/daemon/src/internal/state_synchronizer.hpp
@@ -42,6 +42,14 @@
     base::time_point last_platform_answer() const { return last_platform_answer_; }
 
 private:
+    /// Call that brought an answer about the VM list, and the answer's version.
+    struct vm_answer_source {
+        std::string_view call;
+        std::uint64_t version = 0;
+    };
+
+    struct vm_answer_source_reader;
+
     asio::awaitable<void> watch_document();
     base::duration read_interval() const;
     asio::awaitable<void> read_document_periodically();
@@ -56,17 +64,20 @@
     bool is_member(const base::address& peer_address) const;
     asio::awaitable<bool> fetch_state_from(base::address peer_address);
     asio::awaitable<object_api::answer> call(object_api::call request);
-    asio::awaitable<void> back_off(unsigned failures);
+    /// Waits before a failed call is repeated. `failures` counts its consecutive failures.
+    asio::awaitable<void> back_off(std::string_view call_name, unsigned failures,
+                                   const object_api::answer& answer);
     asio::awaitable<void> sleep_for(base::duration delay);
     void record_platform_result(bool usable);
     void offer_document(std::string_view value);
     void adopt(const std::shared_ptr<const config::environment_document>& document);
     asio::awaitable<void> remove_expired_vms();
     void apply_vm_answer(const object_api::answer& answer);
+    /// Logs and counts an answer about the VM list before it is applied.
+    void record_vm_answer(const vm_answer_source& source, bool is_unchanged);
     static void log_unusable_entries(std::size_t entries);
     void apply_peer_vms(const object_api::vm_list& list);
-    void publish_vms(std::string_view source);
-    void publish_vms(const object_api::vm_list& list, std::string_view source);
+    void publish_vms(const object_api::vm_list& list, const vm_answer_source& source);
     void publish_endpoints();
 
     shared_state& shared_;
--- a/packages/daemon/src/relay_run.cpp
+++ b/packages/daemon/src/relay_run.cpp
@@ -145,6 +145,8 @@
     if (input_.route->prefix_affinity && input_.request.prompt) {
         query.affinity = input_.request.prompt->shared_part();
     }
+    list_version_ = shared_.vms.read()->version;
+    list_age_ = now() - shared_.vms_confirmed_at.load();
     return relay_.balancer.choose(query, now());
 }
 
@@ -498,7 +500,8 @@
          {"input_tokens", input_.request.prompt ? std::to_string(input_.request.prompt->input_tokens) : ""},
          {"left_ms", std::to_string(base::to_milliseconds(remaining_time()))},
          {"document", std::to_string(input_.serving->revision)},
-         {"vm_list", std::to_string(shared_.vms.read()->version)}});
+         {"vm_list", std::to_string(list_version_)},
+         {"vm_list_age_ms", std::to_string(base::to_milliseconds(list_age_))}});
     shared_.metrics.record_request(base::pipeline_name(input_.route->name), result, elapsed);
 }
 
--- a/packages/daemon/src/state_synchronizer.cpp
+++ b/packages/daemon/src/state_synchronizer.cpp
@@ -2,6 +2,8 @@
 
 #include "internal/clock.hpp"
 
+#include <rattanbay/object_api/vm_list_diff.hpp>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -58,8 +60,44 @@
     return parsed ? std::optional<base::address>(*parsed) : std::nullopt;
 }
 
+/// Identifiers for a log line, which lists at most `max_logged_vms` of them.
+std::string join_for_log(const std::vector<base::vm_id>& ids) {
+    constexpr std::size_t max_logged_vms = 16;
+    std::string out;
+    for (std::size_t n = 0; n < std::min(ids.size(), max_logged_vms); ++n) {
+        out += (n > 0 ? " " : "") + ids[n].text();
+    }
+    return ids.size() > max_logged_vms ? out + " and " + std::to_string(ids.size() - max_logged_vms) + " more"
+                                       : out;
+}
+
 } // namespace
 
+/// Finds the source of an answer; returns nothing if the answer is not about the VM list.
+struct state_synchronizer::vm_answer_source_reader {
+    std::uint64_t current_version = 0;
+
+    std::optional<vm_answer_source> operator()(const object_api::vm_list& answer) const {
+        return vm_answer_source{"list", answer.version};
+    }
+
+    std::optional<vm_answer_source> operator()(const object_api::vm_page& answer) const {
+        return vm_answer_source{"list", answer.version};
+    }
+
+    std::optional<vm_answer_source> operator()(const object_api::vm_changes& answer) const {
+        return vm_answer_source{"watch", answer.version};
+    }
+
+    std::optional<vm_answer_source> operator()(const object_api::unchanged& answer) const {
+        return vm_answer_source{"watch", answer.version == 0 ? current_version : answer.version};
+    }
+
+    template <class Other> std::optional<vm_answer_source> operator()(const Other&) const {
+        return std::nullopt;
+    }
+};
+
 state_synchronizer::state_synchronizer(shared_state& shared, control_strand strand, platform_client& platform,
                                        peer_transport& transport, members_handler on_members,
                                        revision_handler on_revision)
@@ -154,7 +192,7 @@
                             !std::holds_alternative<object_api::not_found>(answer);
         failures = usable ? 0 : failures + 1;
         if (failures > 0) {
-            co_await back_off(failures);
+            co_await back_off("watch_document", failures, answer);
         }
     }
 }
@@ -213,7 +251,7 @@
         apply_vm_answer(answer);
         failures = std::holds_alternative<object_api::failed>(answer) ? failures + 1 : 0;
         if (failures > 0) {
-            co_await back_off(failures);
+            co_await back_off("watch_vms", failures, answer);
         } else if (std::holds_alternative<object_api::vm_changes>(answer)) {
             co_await sleep_for(vm_watch_delay);
         }
@@ -224,12 +262,17 @@
     while (true) {
         co_await sleep_for(expiry_check_interval);
         if (directory_.remove_expired(now())) {
-            publish_vms("entries were not listed again in time");
+            publish_vms(directory_.list(), {"expiry", directory_.version()});
         }
     }
 }
 
 void state_synchronizer::apply_vm_answer(const object_api::answer& answer) {
+    const std::optional<vm_answer_source> source =
+        std::visit(vm_answer_source_reader{directory_.version()}, answer);
+    if (source) {
+        record_vm_answer(*source, std::holds_alternative<object_api::unchanged>(answer));
+    }
     if (const object_api::vm_list* list = std::get_if<object_api::vm_list>(&answer)) {
         directory_.apply(*list, now());
     } else if (const object_api::vm_page* page = std::get_if<object_api::vm_page>(&answer)) {
@@ -252,7 +295,23 @@
     } else {
         return;
     }
-    publish_vms("the platform's list");
+    publish_vms(directory_.list(), *source);
+}
+
+void state_synchronizer::record_vm_answer(const vm_answer_source& source, bool is_unchanged) {
+    const bool is_stale = source.version < directory_.version();
+    std::string_view result = is_unchanged ? "unchanged" : "applied";
+    if (is_stale) {
+        result = "stale";
+        telemetry::log(telemetry::log_event::vm_list_answer_stale,
+                       {{"call", std::string(source.call)},
+                        {"answer_version", std::to_string(source.version)},
+                        {"version", std::to_string(directory_.version())}});
+    }
+    shared_.metrics.record_vm_list_answer(source.call, result);
+    shared_.metrics.set_vm_list_confirmed(std::max(source.version, directory_.version()),
+                                          telemetry::wall_clock_us());
+    shared_.vms_confirmed_at.store(now());
 }
 
 asio::awaitable<void> state_synchronizer::fetch_from_seeds() {
@@ -284,7 +343,7 @@
         if (!std::holds_alternative<object_api::failed>(answer)) {
             co_return;
         }
-        co_await back_off(++failures);
+        co_await back_off("register", ++failures, answer);
     }
 }
 
@@ -338,12 +397,19 @@
     co_return answer;
 }
 
-asio::awaitable<void> state_synchronizer::back_off(unsigned failures) {
+asio::awaitable<void> state_synchronizer::back_off(std::string_view call_name, unsigned failures,
+                                                   const object_api::answer& answer) {
     constexpr unsigned max_doublings = 6;
     const base::duration max_delay =
         std::min<base::duration>(min_backoff * (1U << std::min(failures - 1, max_doublings)), max_backoff);
     // Full jitter, so that the daemons do not all retry at once when the platform recovers.
     const base::duration delay(random_.below(static_cast<std::uint64_t>(max_delay.count())));
+    const object_api::failed* const failure = std::get_if<object_api::failed>(&answer);
+    telemetry::log(telemetry::log_event::platform_call_delayed,
+                   {{"call", std::string(call_name)},
+                    {"failures", std::to_string(failures)},
+                    {"delay_ms", std::to_string(base::to_milliseconds(delay))},
+                    {"reason", failure != nullptr ? failure->reason.message : "not found"}});
     co_await sleep_for(std::max<base::duration>(delay, std::chrono::milliseconds(10)));
 }
 
@@ -413,15 +479,12 @@
     if (directory_.version() > 0 || list.version <= shared_.vms.read()->version) {
         return;
     }
-    publish_vms(list, "a peer's list");
-}
-
-void state_synchronizer::publish_vms(std::string_view source) {
-    publish_vms(directory_.list(), source);
+    publish_vms(list, {"peer", list.version});
 }
 
-void state_synchronizer::publish_vms(const object_api::vm_list& list, std::string_view source) {
-    if (list.vms == shared_.vms.read()->vms) {
+void state_synchronizer::publish_vms(const object_api::vm_list& list, const vm_answer_source& source) {
+    const std::shared_ptr<const object_api::vm_list> previous = shared_.vms.read();
+    if (list.vms == previous->vms) {
         return;
     }
     shared_.vms.publish(std::make_shared<object_api::vm_list>(list));
@@ -430,10 +493,17 @@
     for (const object_api::vm& row : list.vms) {
         leaving += row.state == object_api::vm_state::leaving ? 1 : 0;
     }
-    telemetry::log(telemetry::log_event::vm_list_changed, {{"version", std::to_string(list.version)},
-                                                           {"vms", std::to_string(list.vms.size())},
-                                                           {"leaving", std::to_string(leaving)},
-                                                           {"source", std::string(source)}});
+    const object_api::vm_list_diff diff = object_api::vm_list_diff::between(*previous, list);
+    telemetry::log(telemetry::log_event::vm_list_changed,
+                   {{"version", std::to_string(list.version)},
+                    {"previous_version", std::to_string(previous->version)},
+                    {"answer_version", std::to_string(source.version)},
+                    {"source", std::string(source.call)},
+                    {"vms", std::to_string(list.vms.size())},
+                    {"leaving", std::to_string(leaving)},
+                    {"now_live", join_for_log(diff.live)},
+                    {"now_leaving", join_for_log(diff.leaving)},
+                    {"removed", join_for_log(diff.removed)}});
 }
 
 void state_synchronizer::publish_endpoints() {
--- a/packages/object_api/include/rattanbay/object_api.hpp
+++ b/packages/object_api/include/rattanbay/object_api.hpp
@@ -7,8 +7,10 @@
 /// - answer.hpp: answers of the platform
 /// - http_mapping.hpp: encoding of calls as HTTP requests and decoding of answers from HTTP responses
 /// - vm_list.hpp: the list of live and leaving VMs
+/// - vm_list_diff.hpp: differences between two lists
 
 #include <rattanbay/object_api/answer.hpp>
 #include <rattanbay/object_api/call.hpp>
 #include <rattanbay/object_api/http_mapping.hpp>
 #include <rattanbay/object_api/vm_list.hpp>
+#include <rattanbay/object_api/vm_list_diff.hpp>
--- a/packages/telemetry/include/rattanbay/telemetry/log_event.hpp
+++ b/packages/telemetry/include/rattanbay/telemetry/log_event.hpp
@@ -28,6 +28,8 @@
     vm_list_changed = 3003,
     history_lost = 3004,
     entries_unusable = 3005,
+    vm_list_answer_stale = 3006,
+    platform_call_delayed = 3007,
     member_joined = 4001,
     member_suspected = 4002,
     member_lost = 4003,
@@ -57,7 +59,7 @@
 };
 
 /// All log events, ordered by number.
-constexpr std::array<log_event_info, 36> log_events{{
+constexpr std::array<log_event_info, 38> log_events{{
     {log_event::daemon_started, log_level::info, "The daemon listens on all its addresses."},
     {log_event::daemon_draining, log_level::info, "A planned stop began; the daemon leaves the entry lists."},
     {log_event::daemon_stopped, log_level::info, "The planned stop ended; no request was left open."},
@@ -81,6 +83,10 @@
      "The platform no longer has the history of a watch; the state is read anew."},
     {log_event::entries_unusable, log_level::warning,
      "Entries of the VM list cannot be read or used and are left out."},
+    {log_event::vm_list_answer_stale, log_level::info,
+     "An answer about the VM list is older than the list in use."},
+    {log_event::platform_call_delayed, log_level::info,
+     "A platform call failed and is repeated after a delay."},
     {log_event::member_joined, log_level::info, "Another daemon was found."},
     {log_event::member_suspected, log_level::warning,
      "A daemon does not answer probes and leaves the entry lists."},
@@ -124,7 +130,7 @@
 };
 
 template <> struct rattanbay::base::enum_names<rattanbay::telemetry::log_event> {
-    static constexpr std::array<enum_name<telemetry::log_event>, 36> table{{
+    static constexpr std::array<enum_name<telemetry::log_event>, 38> table{{
         {telemetry::log_event::daemon_started, "daemon_started"},
         {telemetry::log_event::daemon_draining, "daemon_draining"},
         {telemetry::log_event::daemon_stopped, "daemon_stopped"},
@@ -142,6 +148,8 @@
         {telemetry::log_event::vm_list_changed, "vm_list_changed"},
         {telemetry::log_event::history_lost, "history_lost"},
         {telemetry::log_event::entries_unusable, "entries_unusable"},
+        {telemetry::log_event::vm_list_answer_stale, "vm_list_answer_stale"},
+        {telemetry::log_event::platform_call_delayed, "platform_call_delayed"},
         {telemetry::log_event::member_joined, "member_joined"},
         {telemetry::log_event::member_suspected, "member_suspected"},
         {telemetry::log_event::member_lost, "member_lost"},
--- a/packages/telemetry/include/rattanbay/telemetry/metrics.hpp
+++ b/packages/telemetry/include/rattanbay/telemetry/metrics.hpp
@@ -36,6 +36,13 @@
     /// Counts a finished platform call.
     void record_platform_call(std::string_view kind, bool succeeded);
 
+    /// Counts an answer about the VM list. `result` is "applied", "unchanged" or "stale".
+    void record_vm_list_answer(std::string_view call, std::string_view result);
+
+    /// Records the version of the VM list that the platform confirmed at `wall_us`, in microseconds since
+    /// 1970.
+    void set_vm_list_confirmed(std::uint64_t version, std::int64_t wall_us);
+
     /// Counts bytes of control traffic to or from other daemons.
     void add_peer_bytes(std::string_view direction, std::size_t count);
 
--- a/packages/telemetry/src/metrics.cpp
+++ b/packages/telemetry/src/metrics.cpp
@@ -1,6 +1,7 @@
 #include <rattanbay/telemetry/metrics.hpp>
 
 #include <prometheus/counter.h>
+#include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
@@ -57,6 +58,20 @@
                                                                 .Name("rattanbay_peer_bytes_total")
                                                                 .Help("Control traffic between daemons")
                                                                 .Register(registry);
+    prometheus::Family<prometheus::Counter>& vm_list_answers = prometheus::BuildCounter()
+                                                                   .Name("rattanbay_vm_list_answers_total")
+                                                                   .Help("Answers about the VM list")
+                                                                   .Register(registry);
+    prometheus::Gauge& vm_list_version = prometheus::BuildGauge()
+                                             .Name("rattanbay_vm_list_version")
+                                             .Help("Version of the VM list that the platform confirmed last")
+                                             .Register(registry)
+                                             .Add({});
+    prometheus::Gauge& vm_list_confirmed = prometheus::BuildGauge()
+                                               .Name("rattanbay_vm_list_confirmed_timestamp_seconds")
+                                               .Help("Time of the last answer about the VM list")
+                                               .Register(registry)
+                                               .Add({});
 };
 
 metrics::metrics()
@@ -92,6 +107,16 @@
         .Increment();
 }
 
+void metrics::record_vm_list_answer(std::string_view call, std::string_view result) {
+    state_->vm_list_answers.Add({{"call", std::string(call)}, {"result", std::string(result)}}).Increment();
+}
+
+void metrics::set_vm_list_confirmed(std::uint64_t version, std::int64_t wall_us) {
+    constexpr double microseconds_per_second = 1e6;
+    state_->vm_list_version.Set(static_cast<double>(version));
+    state_->vm_list_confirmed.Set(static_cast<double>(wall_us) / microseconds_per_second);
+}
+
 void metrics::add_peer_bytes(std::string_view direction, std::size_t count) {
     state_->peer_traffic.Add({{"direction", std::string(direction)}}).Increment(static_cast<double>(count));
 }
--- a/packages/telemetry/test/catalogue_test.cpp
+++ b/packages/telemetry/test/catalogue_test.cpp
@@ -51,6 +51,13 @@
     BOOST_TEST(text.find("rattanbay_requests_total{pipeline=\"plan\",result=\"answered\"} 1") !=
                std::string::npos);
     BOOST_TEST(text.find("distance=\"other_domain\"") != std::string::npos);
+    metrics.record_vm_list_answer("watch", "stale");
+    metrics.set_vm_list_confirmed(241, 1'500'000);
+    const std::string lists = metrics.to_prometheus_text();
+    BOOST_TEST(lists.find("rattanbay_vm_list_answers_total{call=\"watch\",result=\"stale\"} 1") !=
+               std::string::npos);
+    BOOST_TEST(lists.find("rattanbay_vm_list_version 241") != std::string::npos);
+    BOOST_TEST(lists.find("rattanbay_vm_list_confirmed_timestamp_seconds 1.5") != std::string::npos);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
