Apply answers about the VM list by version, not by arrival

Callers' requests could be sent to an endpoint that had announced that it was leaving: the list and the watch of the VM list are read side by side, and an answer that arrived last replaced a newer one. An endpoint turned from leaving to live again, and no later watch repeated the change.

Cause: vm_directory kept one version for the whole list and applied each page without comparing it. The class of fault is a lost update between concurrent readers. Each entry now has the version of the answer that described it, removals are remembered while a listing is in progress, and a page older than the list or than the first page of its listing is ignored and read again after a delay.

--- a/packages/daemon/src/internal/state_synchronizer.hpp
+++ b/packages/daemon/src/internal/state_synchronizer.hpp
@@ -72,6 +72,8 @@
     void offer_document(std::string_view value);
     void adopt(const std::shared_ptr<const config::environment_document>& document);
     asio::awaitable<void> remove_expired_vms();
+    /// Whether the answer is a page that the list does not accept because it is too old.
+    bool is_stale_page(const object_api::answer& answer) const;
     void apply_vm_answer(const object_api::answer& answer);
     /// Logs and counts an answer about the VM list before it is applied.
     void record_vm_answer(const vm_answer_source& source, bool is_unchanged);
--- a/packages/daemon/src/state_synchronizer.cpp
+++ b/packages/daemon/src/state_synchronizer.cpp
@@ -233,10 +233,14 @@
     while (directory_.next_page_after()) {
         const object_api::list_vms request{*directory_.next_page_after()};
         const object_api::answer answer = co_await call(request);
+        const bool is_stale = is_stale_page(answer);
         apply_vm_answer(answer);
         if (std::holds_alternative<object_api::failed>(answer)) {
             co_return;
         }
+        if (is_stale) {
+            co_await sleep_for(max_watch_lag);
+        }
     }
 }
 
@@ -248,8 +252,9 @@
             request = object_api::list_vms{*directory_.next_page_after()};
         }
         const object_api::answer answer = co_await call(request);
+        const bool usable = !std::holds_alternative<object_api::failed>(answer) && !is_stale_page(answer);
         apply_vm_answer(answer);
-        failures = std::holds_alternative<object_api::failed>(answer) ? failures + 1 : 0;
+        failures = usable ? 0 : failures + 1;
         if (failures > 0) {
             co_await back_off("watch_vms", failures, answer);
         } else if (std::holds_alternative<object_api::vm_changes>(answer)) {
@@ -267,6 +272,11 @@
     }
 }
 
+bool state_synchronizer::is_stale_page(const object_api::answer& answer) const {
+    const object_api::vm_page* const page = std::get_if<object_api::vm_page>(&answer);
+    return page != nullptr && directory_.is_stale(*page);
+}
+
 void state_synchronizer::apply_vm_answer(const object_api::answer& answer) {
     const std::optional<vm_answer_source> source =
         std::visit(vm_answer_source_reader{directory_.version()}, answer);
@@ -409,7 +419,7 @@
                    {{"call", std::string(call_name)},
                     {"failures", std::to_string(failures)},
                     {"delay_ms", std::to_string(base::to_milliseconds(delay))},
-                    {"reason", failure != nullptr ? failure->reason.message : "not found"}});
+                    {"reason", failure != nullptr ? failure->reason.message : "not found or stale"}});
     co_await sleep_for(std::max<base::duration>(delay, std::chrono::milliseconds(10)));
 }
 
--- a/packages/object_api/include/rattanbay/object_api/vm_directory.hpp
+++ b/packages/object_api/include/rattanbay/object_api/vm_directory.hpp
@@ -11,9 +11,10 @@
 
 namespace rattanbay::object_api {
 
-/// The VM list, assembled from pages and incremental changes. Entries that expired during an outage of the
-/// platform are kept for a grace period after its recovery, because their VMs may be healthy and need time to
-/// register again.
+/// The VM list, assembled from pages and incremental changes. Answers of concurrent calls may be applied in
+/// any order: an entry is only replaced by an answer of a version that is at least as high. Entries that
+/// expired during an outage of the platform are kept for a grace period after its recovery, because their VMs
+/// may be healthy and need time to register again.
 class vm_directory {
 public:
     /// `relisting_grace_period` is the time a VM may take to register again after an outage.
@@ -22,6 +23,10 @@
     /// Cursor of the next page to read, or nothing if the list is complete and changes can be watched.
     const std::optional<std::string>& next_page_after() const { return next_page_after_; }
 
+    /// Whether a page is older than the list, or than the first page of the listing in progress, so that
+    /// `apply` ignores it.
+    bool is_stale(const vm_page& page) const;
+
     /// Applies a page of the list. Entries that are in none of the pages are removed with the last page.
     void apply(const vm_page& page, base::time_point now);
 
@@ -50,17 +55,21 @@
 private:
     struct entry {
         vm listed;
-        /// Whether the listing in progress contains the entry.
-        bool seen = false;
+        /// Version of the answer that described the entry last.
+        std::uint64_t version = 0;
         /// Time at which an expired entry is removed.
         std::optional<base::time_point> removal_time;
     };
 
-    void upsert(const vm& listed);
+    void upsert(const vm& listed, std::uint64_t version);
+    void apply_removal(const base::vm_id& id, std::uint64_t version, base::time_point now);
     void handle_missing(std::map<base::vm_id, entry>::iterator it, base::time_point now);
 
     base::duration relisting_grace_period_;
     std::map<base::vm_id, entry> entries_;
+    /// Versions at which VMs were removed while the listing in progress was read. Older pages may contain
+    /// them.
+    std::map<base::vm_id, std::uint64_t> removed_versions_;
     std::uint64_t version_ = 0;
     std::optional<std::string> next_page_after_{""};
     /// Version of the first page; changes are watched from here after the last page.
--- a/packages/object_api/src/vm_directory.cpp
+++ b/packages/object_api/src/vm_directory.cpp
@@ -7,8 +7,27 @@
 vm_directory::vm_directory(base::duration relisting_grace_period)
     : relisting_grace_period_(relisting_grace_period) {}
 
-void vm_directory::upsert(const vm& listed) {
-    entries_[listed.id] = entry{listed, true, std::nullopt};
+void vm_directory::upsert(const vm& listed, std::uint64_t version) {
+    const auto removed = removed_versions_.find(listed.id);
+    if (removed != removed_versions_.end() && removed->second > version) {
+        return;
+    }
+    entry& current = entries_[listed.id];
+    if (current.version <= version) {
+        current = entry{listed, version, std::nullopt};
+    }
+}
+
+void vm_directory::apply_removal(const base::vm_id& id, std::uint64_t version, base::time_point now) {
+    if (next_page_after_) {
+        std::uint64_t& removed = removed_versions_[id];
+        removed = std::max(removed, version);
+    }
+    const auto it = entries_.find(id);
+    if (it != entries_.end() && it->second.version <= version) {
+        it->second.version = version;
+        handle_missing(it, now);
+    }
 }
 
 void vm_directory::handle_missing(std::map<base::vm_id, entry>::iterator it, base::time_point now) {
@@ -20,18 +39,20 @@
     }
 }
 
+bool vm_directory::is_stale(const vm_page& page) const {
+    return page.version < (page.after.empty() ? version_ : listing_version_);
+}
+
 void vm_directory::apply(const vm_page& page, base::time_point now) {
-    if (!next_page_after_ || *next_page_after_ != page.after) {
+    if (!next_page_after_ || *next_page_after_ != page.after || is_stale(page)) {
         return;
     }
     if (next_page_after_->empty()) {
         listing_version_ = page.version;
-        for (auto& row : entries_) {
-            row.second.seen = false;
-        }
+        removed_versions_.clear();
     }
     for (const vm& listed : page.vms) {
-        upsert(listed);
+        upsert(listed, page.version);
     }
     next_page_after_ = page.next_after;
     if (next_page_after_) {
@@ -39,15 +60,20 @@
     }
     // Changes made while the pages were read are delivered again by the watch from the first page's version.
     version_ = std::max(version_, listing_version_);
+    removed_versions_.clear();
     for (auto it = entries_.begin(); it != entries_.end();) {
         const auto current = it++;
-        if (!current->second.seen) {
+        // An entry that a newer answer described may have been added after its page was read.
+        if (current->second.version < listing_version_) {
             handle_missing(current, now);
         }
     }
 }
 
 void vm_directory::apply(const vm_list& list, base::time_point now) {
+    if (list.version < version_) {
+        return;
+    }
     next_page_after_ = "";
     apply(vm_page{list.version, list.vms, std::nullopt, 0, {}}, now);
 }
@@ -58,13 +84,10 @@
         return;
     }
     for (const vm& listed : changes.changed) {
-        upsert(listed);
+        upsert(listed, changes.version);
     }
     for (const base::vm_id& id : changes.removed) {
-        const auto it = entries_.find(id);
-        if (it != entries_.end()) {
-            handle_missing(it, now);
-        }
+        apply_removal(id, changes.version, now);
     }
     advance_to(changes.version);
 }
--- a/packages/object_api/test/vm_directory_test.cpp
+++ b/packages/object_api/test/vm_directory_test.cpp
@@ -93,4 +93,43 @@
     BOOST_TEST(names(directory) == "b c ");
 }
 
+// A VM that is leaving must not become live again because an older list arrives after the change.
+BOOST_FIXTURE_TEST_CASE(a_leaving_entry_is_not_replaced_by_an_older_list, listed) {
+    directory.restart_listing();
+    directory.apply(object_api::vm_changes{14, {named("a", object_api::vm_state::leaving)}, {}, 0}, at_ms(0));
+    directory.apply(object_api::vm_page{13, {named("a"), named("b")}, "b", 0, ""}, at_ms(0));
+    directory.apply(object_api::vm_page{13, {named("c")}, std::nullopt, 0, "b"}, at_ms(0));
+    BOOST_TEST(names(directory) == "a- b c ");
+}
+
+// A VM that is leaving must not become live again because older changes arrive after a page of the list.
+BOOST_FIXTURE_TEST_CASE(a_leaving_entry_is_not_replaced_by_older_changes, listed) {
+    directory.restart_listing();
+    directory.apply(
+        object_api::vm_page{14, {named("a", object_api::vm_state::leaving), named("b")}, "b", 0, ""},
+        at_ms(0));
+    directory.apply(object_api::vm_changes{13, {named("a")}, {}, 0}, at_ms(0));
+    directory.apply(object_api::vm_page{14, {named("c")}, std::nullopt, 0, "b"}, at_ms(0));
+    BOOST_TEST(names(directory) == "a- b c ");
+}
+
+// A removed VM must not be listed again because an older page arrives after its removal.
+BOOST_FIXTURE_TEST_CASE(a_removed_entry_is_not_restored_by_an_older_page, listed) {
+    directory.restart_listing();
+    directory.apply(object_api::vm_page{13, {named("a"), named("b")}, "b", 0, ""}, at_ms(0));
+    directory.apply(object_api::vm_changes{15, {}, {base::vm_id("c")}, 0}, at_ms(0));
+    directory.apply(object_api::vm_page{14, {named("c")}, std::nullopt, 0, "b"}, at_ms(0));
+    BOOST_TEST(names(directory) == "a b ");
+}
+
+// A page that was requested for an earlier listing must not complete a newer one.
+BOOST_FIXTURE_TEST_CASE(a_page_of_an_earlier_listing_is_ignored, listed) {
+    directory.restart_listing();
+    directory.apply(object_api::vm_page{20, {named("a"), named("b")}, "b", 0, ""}, at_ms(0));
+    directory.apply(object_api::vm_page{15, {}, std::nullopt, 0, "b"}, at_ms(0));
+    BOOST_TEST(directory.next_page_after().has_value());
+    directory.apply(object_api::vm_page{21, {named("c")}, std::nullopt, 0, "b"}, at_ms(0));
+    BOOST_TEST(names(directory) == "a b c ");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
