Reproduce: a VM list stays old after the platform answers again

A test with the control loops of eight daemons of a cluster of 72. The platform is down for 8 s, an endpoint announces meanwhile that it leaves, and each daemon has to know that 3 s after the platform answers again: from then on a VM counts as in touch at the smallest deployments.

--- /dev/null
+++ b/packages/daemon/test/state_synchronizer_test.cpp
@@ -0,0 +1,161 @@
+#include "internal/clock.hpp"
+#include "internal/state_synchronizer.hpp"
+
+#include <rattanbay/emulator.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/use_future.hpp>
+#include <boost/test/unit_test.hpp>
+#include <unistd.h>
+
+#include <thread>
+
+namespace asio = boost::asio;
+namespace base = rattanbay::base;
+namespace config = rattanbay::config;
+namespace daemon_ns = rattanbay::daemon;
+namespace emulator = rattanbay::emulator;
+namespace internal = rattanbay::daemon::internal;
+namespace object_api = rattanbay::object_api;
+namespace peer = rattanbay::peer;
+
+namespace {
+
+/// Members known to each synchronizer, which determine how rarely it reads on its own.
+constexpr std::size_t cluster_size = 72;
+/// Shortest time after an outage from which a daemon has to keep the bounds on leaving endpoints.
+constexpr std::chrono::seconds settling_time{3};
+
+base::address loopback(std::uint16_t port) {
+    const std::uint32_t process = static_cast<std::uint32_t>(::getpid());
+    return {{127, 78, static_cast<std::uint8_t>(process >> 8U), static_cast<std::uint8_t>(process)}, port};
+}
+
+/// A synchronizer of one daemon of a large cluster, without the rest of the daemon.
+class lone_synchronizer {
+public:
+    lone_synchronizer(asio::io_context& context, std::uint64_t seed)
+        : strand_(asio::make_strand(context))
+        , shared_(context, settings(), base::incarnation(), daemon_ns::platform_protocols::emulated())
+        , platform_(shared_.settings.platform_addresses, shared_.protocols.objects,
+                    [](std::string_view, bool) {})
+        , transport_(std::make_shared<internal::peer_transport>(shared_, strand_)) {
+        shared_.seed_counter.store(seed);
+        const std::shared_ptr<internal::member_view> view = std::make_shared<internal::member_view>();
+        view->members.resize(cluster_size);
+        shared_.members.publish(view);
+        synchronizer_ = std::make_shared<internal::state_synchronizer>(
+            shared_, strand_, platform_, *transport_, [](const std::vector<peer::member_record>&) {},
+            [](std::uint64_t) {});
+        synchronizer_->start();
+    }
+
+    std::size_t leaving_vms() const {
+        const std::shared_ptr<const object_api::vm_list> list = shared_.vms.read();
+        return static_cast<std::size_t>(
+            std::ranges::count(list->vms, object_api::vm_state::leaving, &object_api::vm::state));
+    }
+
+    std::size_t listed_vms() const { return shared_.vms.read()->vms.size(); }
+
+private:
+    static config::settings settings() {
+        config::settings out;
+        out.environment = "production";
+        out.platform_addresses = {loopback(2379)};
+        out.cluster_secret = "0123456789abcdef";
+        return out;
+    }
+
+    internal::control_strand strand_;
+    internal::shared_state shared_;
+    daemon_ns::platform_client platform_;
+    std::shared_ptr<internal::peer_transport> transport_;
+    std::shared_ptr<internal::state_synchronizer> synchronizer_;
+};
+
+/// An emulated platform and the synchronizers of several daemons, which do not know each other.
+struct fixture {
+    fixture()
+        : work(asio::make_work_guard(context))
+        , thread([this]() { context.run(); }) {
+        emulator::platform_options options;
+        options.address = loopback(2379);
+        options.vm_list_lag = std::chrono::milliseconds(10);
+        platform = emulator::platform_service::start(context, options).value();
+        set_vms(object_api::vm_state::live);
+        write_object(config::document_object::key("production"));
+        for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+            synchronizers.push_back(std::make_unique<lone_synchronizer>(context, seed));
+        }
+    }
+
+    fixture(const fixture&) = delete;
+    fixture& operator=(const fixture&) = delete;
+
+    ~fixture() {
+        platform->stop();
+        context.stop();
+        thread.join();
+        synchronizers.clear();
+    }
+
+    void set_vms(object_api::vm_state state) const {
+        object_api::vm row;
+        row.id = base::vm_id("desk-1");
+        row.service = base::service_name("desk");
+        row.address = loopback(8000);
+        row.failure_domain = base::failure_domain("a");
+        row.state = state;
+        platform->set_vms({row});
+    }
+
+    void write_object(const object_api::object_key& key) {
+        daemon_ns::platform_client client({loopback(2379)}, std::make_shared<object_api::object_protocol>(),
+                                          [](std::string_view, bool) {});
+        asio::co_spawn(context,
+                       client.call(context.get_executor(), object_api::write_object{key, std::nullopt, "{}"}),
+                       asio::use_future)
+            .get();
+    }
+
+    /// Waits until a condition holds for all synchronizers. Returns whether it holds within the limit.
+    template <class Condition> bool wait_for_all(std::chrono::milliseconds limit, Condition condition) const {
+        const std::chrono::steady_clock::time_point end = std::chrono::steady_clock::now() + limit;
+        while (
+            !std::ranges::all_of(synchronizers, [&condition](const auto& row) { return condition(*row); })) {
+            if (std::chrono::steady_clock::now() >= end) {
+                return false;
+            }
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        }
+        return true;
+    }
+
+    asio::io_context context;
+    asio::executor_work_guard<asio::io_context::executor_type> work;
+    std::thread thread;
+    std::unique_ptr<emulator::platform_service> platform;
+    std::vector<std::unique_ptr<lone_synchronizer>> synchronizers;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(state_synchronizer)
+
+// Requests reached endpoints that had left because the watch still waited for its back-off when the platform
+// answered again.
+BOOST_FIXTURE_TEST_CASE(leaving_endpoints_are_known_soon_after_an_outage, fixture) {
+    BOOST_REQUIRE(wait_for_all(std::chrono::seconds(5), [](const lone_synchronizer& row) {
+        return row.listed_vms() == 1 && row.leaving_vms() == 0;
+    }));
+    platform->set_fault({emulator::platform_fault_mode::down, {}});
+    set_vms(object_api::vm_state::leaving);
+    std::this_thread::sleep_for(std::chrono::seconds(8));
+    platform->set_fault({});
+    BOOST_TEST(
+        wait_for_all(settling_time, [](const lone_synchronizer& row) { return row.leaving_vms() == 1; }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
