Ask for the VM list as soon as the platform answers again

Requests reached endpoints up to 4.1 s after the platform had acknowledged that they were leaving (bound 3 s), at VMs that had been cut off before.

Cause: each control loop repeats a failed call after a back-off of its own of up to 10 s, so the watch of the VM list could still wait when another call had long been answered. The class of fault is a timer that goes on after the condition that started it has ended.

The first answer of the platform after a failure now ends the back-off of all calls; a watch that failed asks for an immediate answer, since one that waits for a change shows the recovery only with the next change; the back-off is at most 2 s. A watch that only answers when it need not wait keeps its count of failures, so that it backs off as before.

--- a/packages/daemon/src/internal/state_synchronizer.hpp
+++ b/packages/daemon/src/internal/state_synchronizer.hpp
@@ -9,9 +9,11 @@
 #include <rattanbay/object_api/vm_directory.hpp>
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <functional>
 #include <memory>
+#include <set>
 
 namespace rattanbay::daemon::internal {
 
@@ -64,7 +66,8 @@
     bool is_member(const base::address& peer_address) const;
     asio::awaitable<bool> fetch_state_from(base::address peer_address);
     asio::awaitable<object_api::answer> call(object_api::call request);
-    /// Waits before a failed call is repeated. `failures` counts its consecutive failures.
+    /// Waits before a failed call is repeated, at most until the platform has answered another call.
+    /// `failures` counts the consecutive failures of the call.
     asio::awaitable<void> back_off(std::string_view call_name, unsigned failures,
                                    const object_api::answer& answer);
     asio::awaitable<void> sleep_for(base::duration delay);
@@ -94,6 +97,8 @@
     object_api::vm_directory directory_;
     base::time_point last_platform_answer_;
     bool platform_failing_ = false;
+    /// Timers of the calls in `back_off`.
+    std::set<asio::steady_timer*> delayed_calls_;
     bool fetch_in_progress_ = false;
 };
 
--- a/packages/daemon/src/state_synchronizer.cpp
+++ b/packages/daemon/src/state_synchronizer.cpp
@@ -7,7 +7,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
@@ -30,7 +29,9 @@
 /// Time by which a watch may lag behind a read.
 constexpr std::chrono::milliseconds max_watch_lag{400};
 constexpr std::chrono::milliseconds min_backoff{200};
-constexpr std::chrono::seconds max_backoff{10};
+/// Bounds the time until a daemon finds that the platform answers again.
+constexpr std::chrono::seconds max_backoff{2};
+constexpr std::chrono::seconds max_seed_retry_interval{10};
 constexpr std::chrono::seconds peer_timeout{2};
 /// Interval of the check for expired VM list entries whose grace period has ended.
 constexpr std::chrono::milliseconds expiry_check_interval{250};
@@ -60,6 +61,32 @@
     return parsed ? std::optional<base::address>(*parsed) : std::nullopt;
 }
 
+/// Consecutive failures of a watch.
+class watch_failures {
+public:
+    /// Time for which the platform may delay the next answer. After a failure it has to answer immediately,
+    /// so that its recovery is known at once.
+    base::duration wait() const { return last_failed_ ? base::duration::zero() : watch_timeout; }
+
+    bool last_failed() const { return last_failed_; }
+
+    unsigned count() const { return count_; }
+
+    void record(bool usable) {
+        if (!usable) {
+            ++count_;
+        } else if (!last_failed_) {
+            // An immediate answer does not show yet that a watch succeeds.
+            count_ = 0;
+        }
+        last_failed_ = !usable;
+    }
+
+private:
+    unsigned count_ = 0;
+    bool last_failed_ = false;
+};
+
 /// Identifiers for a log line, which lists at most `max_logged_vms` of them.
 std::string join_for_log(const std::vector<base::vm_id>& ids) {
     constexpr std::size_t max_logged_vms = 16;
@@ -173,10 +200,10 @@
 }
 
 asio::awaitable<void> state_synchronizer::watch_document() {
-    unsigned failures = 0;
+    watch_failures failures;
     while (true) {
         const object_api::object_key key = config::document_object::key(shared_.settings.environment);
-        const object_api::watch_object request{key, document_version_, watch_timeout};
+        const object_api::watch_object request{key, document_version_, failures.wait()};
         const object_api::answer answer = co_await call(request);
         if (const object_api::object* object = std::get_if<object_api::object>(&answer)) {
             document_version_ = std::max(document_version_, object->version);
@@ -190,9 +217,9 @@
         }
         const bool usable = !std::holds_alternative<object_api::failed>(answer) &&
                             !std::holds_alternative<object_api::not_found>(answer);
-        failures = usable ? 0 : failures + 1;
-        if (failures > 0) {
-            co_await back_off("watch_document", failures, answer);
+        failures.record(usable);
+        if (failures.last_failed()) {
+            co_await back_off("watch_document", failures.count(), answer);
         }
     }
 }
@@ -245,18 +272,18 @@
 }
 
 asio::awaitable<void> state_synchronizer::watch_vms() {
-    unsigned failures = 0;
+    watch_failures failures;
     while (true) {
-        object_api::call request = object_api::watch_vms{directory_.version(), watch_timeout};
+        object_api::call request = object_api::watch_vms{directory_.version(), failures.wait()};
         if (directory_.next_page_after()) {
             request = object_api::list_vms{*directory_.next_page_after()};
         }
         const object_api::answer answer = co_await call(request);
         const bool usable = !std::holds_alternative<object_api::failed>(answer) && !is_stale_page(answer);
         apply_vm_answer(answer);
-        failures = usable ? 0 : failures + 1;
-        if (failures > 0) {
-            co_await back_off("watch_vms", failures, answer);
+        failures.record(usable);
+        if (failures.last_failed()) {
+            co_await back_off("watch_vms", failures.count(), answer);
         } else if (std::holds_alternative<object_api::vm_changes>(answer)) {
             co_await sleep_for(vm_watch_delay);
         }
@@ -339,7 +366,7 @@
         const std::int64_t jitter =
             static_cast<std::int64_t>(random_.below(static_cast<std::uint64_t>(retry_interval.count())));
         co_await sleep_for(retry_interval / 2 + base::duration(jitter));
-        retry_interval = std::min<base::duration>(retry_interval * 2, max_backoff);
+        retry_interval = std::min<base::duration>(retry_interval * 2, max_seed_retry_interval);
     }
 }
 
@@ -420,7 +447,11 @@
                     {"failures", std::to_string(failures)},
                     {"delay_ms", std::to_string(base::to_milliseconds(delay))},
                     {"reason", failure != nullptr ? failure->reason.message : "not found or stale"}});
-    co_await sleep_for(std::max<base::duration>(delay, std::chrono::milliseconds(10)));
+    asio::steady_timer timer(strand_, std::max<base::duration>(delay, std::chrono::milliseconds(10)));
+    delayed_calls_.insert(&timer);
+    boost::system::error_code ec;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    delayed_calls_.erase(&timer);
 }
 
 asio::awaitable<void> state_synchronizer::sleep_for(base::duration delay) {
@@ -437,6 +468,9 @@
         platform_failing_ = !usable;
         if (usable) {
             directory_.platform_recovered(now());
+            for (asio::steady_timer* const timer : delayed_calls_) {
+                timer->cancel();
+            }
         }
         telemetry::log(
             usable ? telemetry::log_event::platform_recovered : telemetry::log_event::platform_failing, {});
