Drop an endpoint that leaves without an announcement while the platform recovers

Requests reached endpoints whose entry had been removed, up to 4.1 s after the platform had acknowledged that (bound 3 s).

Cause: after each failure of a platform call, missing entries stayed in use as live for 2.5 s from the moment at which this daemon found the platform again, as an outage may have let them expire. An endpoint that leaves by removing its entry was kept in the same way. The class of fault is a guess that spares endpoints in one failure and is applied to another one.

Missing entries are now only kept for a service that has lost most of its live entries: an outage lets all entries expire, while entries that go one by one are endpoints that leave. Ruled out: a shorter grace period, since healthy endpoints need two seconds to register again; and a least length of the outage, since a cut of one VM is as long.

Two new cases of vm_directory fail on the code before (3 checks) and pass now; the cases of the grace period are unchanged.

--- a/packages/object_api/include/rattanbay/object_api/vm_directory.hpp
+++ b/packages/object_api/include/rattanbay/object_api/vm_directory.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace rattanbay::object_api {
@@ -50,6 +51,8 @@
 
     std::uint64_t version() const { return version_; }
 
+    /// The VMs to use. A missing entry in its grace period is only included if most live entries of its
+    /// service are missing: an outage lets all of them expire, while single ones are VMs that have left.
     vm_list list() const;
 
 private:
@@ -63,6 +66,8 @@
 
     void upsert(const vm& listed, std::uint64_t version);
     void apply_removal(const base::vm_id& id, std::uint64_t version, base::time_point now);
+    /// Services that have more missing entries than live ones.
+    std::set<base::service_name> mostly_missing_services() const;
     void handle_missing(std::map<base::vm_id, entry>::iterator it, base::time_point now);
 
     base::duration relisting_grace_period_;
--- a/packages/object_api/src/vm_directory.cpp
+++ b/packages/object_api/src/vm_directory.cpp
@@ -110,12 +110,39 @@
            }) > 0;
 }
 
+std::set<base::service_name> vm_directory::mostly_missing_services() const {
+    struct count {
+        std::size_t live = 0;
+        std::size_t missing = 0;
+    };
+
+    std::map<base::service_name, count> counts;
+    for (const std::pair<const base::vm_id, entry>& row : entries_) {
+        count& service = counts[row.second.listed.service];
+        if (row.second.removal_time) {
+            ++service.missing;
+        } else if (row.second.listed.state == vm_state::live) {
+            ++service.live;
+        }
+    }
+    std::set<base::service_name> out;
+    for (const std::pair<const base::service_name, count>& row : counts) {
+        if (row.second.missing > row.second.live) {
+            out.insert(row.first);
+        }
+    }
+    return out;
+}
+
 vm_list vm_directory::list() const {
     vm_list out;
     out.version = version_;
     out.vms.reserve(entries_.size());
-    for (const auto& row : entries_) {
-        out.vms.push_back(row.second.listed);
+    const std::set<base::service_name> mostly_missing = mostly_missing_services();
+    for (const std::pair<const base::vm_id, entry>& row : entries_) {
+        if (!row.second.removal_time || mostly_missing.contains(row.second.listed.service)) {
+            out.vms.push_back(row.second.listed);
+        }
     }
     return out;
 }
--- a/packages/object_api/test/vm_directory_test.cpp
+++ b/packages/object_api/test/vm_directory_test.cpp
@@ -85,6 +85,28 @@
     BOOST_TEST(names(directory) == "a c ");
 }
 
+// An endpoint that leaves without an announcement while the platform recovers must not be used for the grace
+// period.
+BOOST_FIXTURE_TEST_CASE(a_single_entry_that_is_removed_after_an_outage_is_not_listed, listed) {
+    directory.platform_recovered(at_ms(1000));
+    directory.apply(object_api::vm_changes{40, {}, {base::vm_id("a")}, 0}, at_ms(1100));
+    BOOST_TEST(names(directory) == "b c ");
+    directory.apply(object_api::vm_changes{41, {}, {base::vm_id("b")}, 0}, at_ms(1200));
+    BOOST_TEST(names(directory) == "a b c ");
+    directory.apply(object_api::vm_changes{42, {named("b")}, {}, 0}, at_ms(1300));
+    BOOST_TEST(names(directory) == "b c ");
+}
+
+// The entries of a small service must not be counted together with those of a large one.
+BOOST_FIXTURE_TEST_CASE(missing_entries_are_counted_for_each_service, listed) {
+    object_api::vm other = named("z");
+    other.service = base::service_name("board");
+    directory.apply(object_api::vm_changes{20, {other}, {}, 0}, at_ms(0));
+    directory.platform_recovered(at_ms(1000));
+    directory.apply(object_api::vm_changes{40, {}, {base::vm_id("a"), base::vm_id("z")}, 0}, at_ms(1100));
+    BOOST_TEST(names(directory) == "b c z ");
+}
+
 // Guards against routing work to an endpoint that left during an outage.
 BOOST_FIXTURE_TEST_CASE(a_leaving_entry_is_not_kept, listed) {
     directory.apply(object_api::vm_changes{12, {named("a", object_api::vm_state::leaving)}, {}, 0}, at_ms(0));
