Check that an endpoint still takes work before a piece call is repeated

A call to a worker pool that failed on a pooled connection was sent once more, on a new connection, to the same endpoint, even if that endpoint had announced meanwhile that it was leaving.

Cause: the check right before a request is sent was made on the way of requests only; calls to worker pools use http::exchange, which repeats by itself.

--- a/packages/daemon/src/piece_pool.cpp
+++ b/packages/daemon/src/piece_pool.cpp
@@ -175,8 +175,11 @@
     http::exchange_timeouts limits;
     limits.response_header = queues_[service].call_timeout;
     http::request message = relay_.protocol->write_piece_request(orders, batch.endpoint.id);
-    const base::result<http::response> response =
-        co_await http::exchange(strand_, relay_.pool, batch.endpoint.address, std::move(message), limits);
+    const http::send_condition is_available = [this, endpoint = batch.endpoint.id]() {
+        return relay_.balancer.is_available(endpoint);
+    };
+    const base::result<http::response> response = co_await http::exchange(
+        strand_, relay_.pool, batch.endpoint.address, std::move(message), limits, is_available);
     std::string detail;
     std::vector<relay::held_result> held;
     const relay::attempt_result result = read_response(service, batch, response, detail, held);
@@ -212,8 +215,9 @@
                                                 std::string& detail, std::vector<relay::held_result>& held) {
     if (!response) {
         detail = response.error().message;
-        return response.error().code == base::error_code::connection_refused ? relay::attempt_result::not_sent
-                                                                             : relay::attempt_result::broken;
+        const bool sent = response.error().code != base::error_code::connection_refused &&
+                          response.error().code != base::error_code::unavailable;
+        return sent ? relay::attempt_result::broken : relay::attempt_result::not_sent;
     }
     const relay::endpoint_response_header header =
         relay_.protocol->read_response(http::response_header{response->status, response->fields});
--- a/packages/http/include/rattanbay/http/connection_pool.hpp
+++ b/packages/http/include/rattanbay/http/connection_pool.hpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstddef>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -41,11 +42,15 @@
     std::map<base::address, std::deque<idle_connection>> idle_;
 };
 
+/// Whether a request may still be sent; evaluated right before each send. Empty if it always may.
+using send_condition = std::function<bool()>;
+
 /// Performs one exchange of an idempotent request on a pooled or a new connection. If it fails on a
-/// pooled connection, it is retried once on a new one.
+/// pooled connection, it is retried once on a new one. Errors besides those of `client_connection`:
+/// `unavailable` if `may_send` did not hold, so that nothing was sent.
 asio::awaitable<base::result<response>> exchange(asio::any_io_executor executor, connection_pool& pool,
                                                  base::address address, request message,
-                                                 exchange_timeouts timeouts);
+                                                 exchange_timeouts timeouts, send_condition may_send = {});
 
 /// Performs one exchange on a new connection, without retries. After any error other than
 /// `connection_refused` the server may have processed the request.
--- a/packages/http/src/connection_pool.cpp
+++ b/packages/http/src/connection_pool.cpp
@@ -88,10 +88,15 @@
 
 asio::awaitable<base::result<response>> exchange(asio::any_io_executor executor, connection_pool& pool,
                                                  base::address address, request message,
-                                                 exchange_timeouts timeouts) {
+                                                 exchange_timeouts timeouts, send_condition may_send) {
+    base::result<response> result = base::fail(base::error_code::unavailable, "the request was not sent");
     std::unique_ptr<client_connection> idle = pool.acquire(address);
+    if (idle && may_send && !may_send()) {
+        pool.release(std::move(idle));
+        co_return result;
+    }
     if (idle) {
-        base::result<response> result = co_await exchange_on(*idle, message, timeouts);
+        result = co_await exchange_on(*idle, message, timeouts);
         if (result) {
             pool.release(std::move(idle));
             co_return result;
@@ -103,7 +108,11 @@
     if (!opened) {
         co_return tl::unexpected<base::error>(opened.error());
     }
-    base::result<response> result = co_await exchange_on(**opened, std::move(message), timeouts);
+    if (may_send && !may_send()) {
+        // After a failed send on the pooled connection, its error says more about the request.
+        co_return result;
+    }
+    result = co_await exchange_on(**opened, std::move(message), timeouts);
     if (result) {
         pool.release(std::move(*opened));
     }
