Tell other daemons which change of the VM list is known

A daemon whose watch of the VM list is silent kept sending requests to endpoints that had left until the watch timed out after 10 s, or until its own read, which comes every 18 s on average with 72 daemons. The daemons share these reads because they tell each other about new documents, but they did not tell about the VM list.

Each datagram of the membership protocol now carries the version of the newest change in the sender's list. A daemon that does not get this change from its watch within 0.4 s reads the list and starts a new watch. The version of the change is compared, not that of the list, as other objects of the store advance the latter. Daemons of earlier versions send no such field, and it is read as 0.

Evidence: with a silent watch and without the message the list of eight daemons is not current after the 2 s that an endpoint serves; with the message it is. In the simulation of 8, 80 and 320 daemons one that is behind learns it within 2 s.

--- a/packages/capacity_benchmark/capacity_benchmark.cpp
+++ b/packages/capacity_benchmark/capacity_benchmark.cpp
@@ -105,6 +105,7 @@
     record.sequence = 1;
     record.revision = 1;
     record.ledger_recorded = true;
+    record.vm_list_change = 1'000'000;
     return record;
 }
 
--- a/packages/daemon/src/control.cpp
+++ b/packages/daemon/src/control.cpp
@@ -90,7 +90,8 @@
     , transport_(std::make_shared<peer_transport>(shared, strand)) {
     members_ = std::make_unique<membership_driver>(
         shared, strand, *transport_,
-        [this](std::uint64_t, const base::address& at) { state_->start_fetch(at); });
+        [this](std::uint64_t, const base::address& at) { state_->start_fetch(at); },
+        [this](std::uint64_t version) { state_->catch_up_vms(version); });
     state_ = std::make_shared<state_synchronizer>(
         shared, strand, platform_, *transport_,
         [this](const std::vector<peer::member_record>& members) { members_->merge_members(members); },
@@ -226,7 +227,11 @@
         check_isolation();
         update_account_limits();
         const std::uint32_t load = shared_.requests_in_progress.load();
-        members_->update_self([load](peer::member_record& own) { own.load = load; });
+        const std::uint64_t vm_list_change = state_->newest_vm_change();
+        members_->update_self([load, vm_list_change](peer::member_record& own) {
+            own.load = load;
+            own.vm_list_change = vm_list_change;
+        });
     }
 }
 
--- a/packages/daemon/src/internal/membership_driver.hpp
+++ b/packages/daemon/src/internal/membership_driver.hpp
@@ -16,8 +16,11 @@
     /// Called with the revision and the peer address when a member has a higher revision than this daemon.
     using revision_handler = std::function<void(std::uint64_t, const base::address&)>;
 
+    /// Called with the version of a change that a member's VM list contains and this daemon's may not.
+    using vm_list_change_handler = std::function<void(std::uint64_t)>;
+
     membership_driver(shared_state& shared, control_strand strand, peer_transport& transport,
-                      revision_handler on_revision);
+                      revision_handler on_revision, vm_list_change_handler on_vm_list_change);
 
     void start();
 
@@ -41,11 +44,13 @@
     void apply(const membership::send_datagram& action);
     void apply(const membership::member_changed& action);
     void apply(const membership::revision_seen& action);
+    void apply(const membership::vm_list_change_seen& action);
     void publish();
 
     shared_state& shared_;
     peer_transport& transport_;
     revision_handler on_revision_;
+    vm_list_change_handler on_vm_list_change_;
     membership::detector detector_;
     wakeup_timer timer_;
 };
--- a/packages/daemon/src/internal/state_synchronizer.hpp
+++ b/packages/daemon/src/internal/state_synchronizer.hpp
@@ -32,6 +32,13 @@
     /// Starts fetching the state of another daemon, which has a document of a higher revision.
     void start_fetch(const base::address& peer_address);
 
+    /// Reads the VM list if the watch does not bring the change of this version, which another daemon has, in
+    /// time. Does nothing while the platform fails or an earlier call is in progress.
+    void catch_up_vms(std::uint64_t change_version);
+
+    /// Version of the newest known change of the VM list.
+    std::uint64_t newest_vm_change() const { return directory_.newest_change(); }
+
     /// Builds the reply to another daemon's state request.
     peer::frame build_state_reply(const peer::state_request& request,
                                   const std::vector<peer::member_record>& members) const;
@@ -55,9 +62,12 @@
     asio::awaitable<void> watch_document();
     base::duration read_interval() const;
     asio::awaitable<void> read_document_periodically();
-    /// Reads the VM list if the watch does not bring it up to `store_version` in time.
+    /// Reads the VM list and starts a new watch if the current one does not bring the list up to
+    /// `store_version` in time.
     asio::awaitable<void> read_missed_vms(std::uint64_t store_version);
-    asio::awaitable<void> watch_vms();
+    void start_vm_watch();
+    /// Watches the VM list until another watch is started.
+    asio::awaitable<void> watch_vms(std::uint64_t generation);
     asio::awaitable<void> fetch_from_seeds();
     /// Registers this daemon's address in the platform.
     asio::awaitable<void> register_self();
@@ -75,8 +85,8 @@
     void offer_document(std::string_view value);
     void adopt(const std::shared_ptr<const config::environment_document>& document);
     asio::awaitable<void> remove_expired_vms();
-    /// Whether the answer is a page that the list does not accept because it is too old.
-    bool is_stale_page(const object_api::answer& answer) const;
+    /// Whether the answer is a list or a page that is too old to be applied.
+    bool is_stale_list(const object_api::answer& answer) const;
     void apply_vm_answer(const object_api::answer& answer);
     /// Logs and counts an answer about the VM list before it is applied.
     void record_vm_answer(const vm_answer_source& source, bool is_unchanged);
@@ -100,6 +110,9 @@
     /// Timers of the calls in `back_off`.
     std::set<asio::steady_timer*> delayed_calls_;
     bool fetch_in_progress_ = false;
+    bool vm_catch_up_in_progress_ = false;
+    /// Number of watches of the VM list started so far; earlier ones end with their next answer.
+    std::uint64_t vm_watch_generation_ = 0;
 };
 
 } // namespace rattanbay::daemon::internal
--- a/packages/daemon/src/membership_driver.cpp
+++ b/packages/daemon/src/membership_driver.cpp
@@ -45,10 +45,11 @@
 } // namespace
 
 membership_driver::membership_driver(shared_state& shared, control_strand strand, peer_transport& transport,
-                                     revision_handler on_revision)
+                                     revision_handler on_revision, vm_list_change_handler on_vm_list_change)
     : shared_(shared)
     , transport_(transport)
     , on_revision_(std::move(on_revision))
+    , on_vm_list_change_(std::move(on_vm_list_change))
     , detector_(detector_options_from(shared.settings), make_own_record(shared),
                 base::random_source(shared.next_seed()), now())
     , timer_(strand, [this]() { handle(membership::timer_expired{}); }) {}
@@ -108,6 +109,10 @@
     on_revision_(action.revision, action.at);
 }
 
+void membership_driver::apply(const membership::vm_list_change_seen& action) {
+    on_vm_list_change_(action.version);
+}
+
 void membership_driver::publish() {
     const std::shared_ptr<member_view> view = std::make_shared<member_view>();
     view->members = detector_.members();
--- a/packages/daemon/src/state_synchronizer.cpp
+++ b/packages/daemon/src/state_synchronizer.cpp
@@ -144,8 +144,7 @@
         strand_, [self]() { return self->watch_document(); }, asio::detached);
     asio::co_spawn(
         strand_, [self]() { return self->read_document_periodically(); }, asio::detached);
-    asio::co_spawn(
-        strand_, [self]() { return self->watch_vms(); }, asio::detached);
+    start_vm_watch();
     asio::co_spawn(
         strand_, [self]() { return self->remove_expired_vms(); }, asio::detached);
     asio::co_spawn(
@@ -171,6 +170,28 @@
         asio::detached);
 }
 
+void state_synchronizer::catch_up_vms(std::uint64_t change_version) {
+    if (change_version <= directory_.version() || vm_catch_up_in_progress_ || platform_failing_) {
+        return;
+    }
+    vm_catch_up_in_progress_ = true;
+    const std::shared_ptr<state_synchronizer> self = shared_from_this();
+    asio::co_spawn(
+        strand_,
+        [self, change_version]() -> asio::awaitable<void> {
+            co_await self->read_missed_vms(change_version);
+            self->vm_catch_up_in_progress_ = false;
+        },
+        asio::detached);
+}
+
+void state_synchronizer::start_vm_watch() {
+    const std::shared_ptr<state_synchronizer> self = shared_from_this();
+    const std::uint64_t generation = ++vm_watch_generation_;
+    asio::co_spawn(
+        strand_, [self, generation]() { return self->watch_vms(generation); }, asio::detached);
+}
+
 peer::frame state_synchronizer::build_state_reply(const peer::state_request& request,
                                                   const std::vector<peer::member_record>& members) const {
     peer::state_reply reply;
@@ -260,7 +281,7 @@
     while (directory_.next_page_after()) {
         const object_api::list_vms request{*directory_.next_page_after()};
         const object_api::answer answer = co_await call(request);
-        const bool is_stale = is_stale_page(answer);
+        const bool is_stale = is_stale_list(answer);
         apply_vm_answer(answer);
         if (std::holds_alternative<object_api::failed>(answer)) {
             co_return;
@@ -269,17 +290,19 @@
             co_await sleep_for(max_watch_lag);
         }
     }
+    // The connection of the watch may be silent.
+    start_vm_watch();
 }
 
-asio::awaitable<void> state_synchronizer::watch_vms() {
+asio::awaitable<void> state_synchronizer::watch_vms(std::uint64_t generation) {
     watch_failures failures;
-    while (true) {
+    while (generation == vm_watch_generation_) {
         object_api::call request = object_api::watch_vms{directory_.version(), failures.wait()};
         if (directory_.next_page_after()) {
             request = object_api::list_vms{*directory_.next_page_after()};
         }
         const object_api::answer answer = co_await call(request);
-        const bool usable = !std::holds_alternative<object_api::failed>(answer) && !is_stale_page(answer);
+        const bool usable = !std::holds_alternative<object_api::failed>(answer) && !is_stale_list(answer);
         apply_vm_answer(answer);
         failures.record(usable);
         if (failures.last_failed()) {
@@ -299,9 +322,10 @@
     }
 }
 
-bool state_synchronizer::is_stale_page(const object_api::answer& answer) const {
+bool state_synchronizer::is_stale_list(const object_api::answer& answer) const {
+    const object_api::vm_list* const list = std::get_if<object_api::vm_list>(&answer);
     const object_api::vm_page* const page = std::get_if<object_api::vm_page>(&answer);
-    return page != nullptr && directory_.is_stale(*page);
+    return (list != nullptr && directory_.is_stale(*list)) || (page != nullptr && directory_.is_stale(*page));
 }
 
 void state_synchronizer::apply_vm_answer(const object_api::answer& answer) {
--- a/packages/daemon/test/state_synchronizer_test.cpp
+++ b/packages/daemon/test/state_synchronizer_test.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/use_future.hpp>
 #include <boost/test/unit_test.hpp>
 #include <unistd.h>
@@ -57,6 +58,11 @@
             std::ranges::count(list->vms, object_api::vm_state::leaving, &object_api::vm::state));
     }
 
+    /// Reports that another daemon's VM list contains a change of this version.
+    void report_change(std::uint64_t version) {
+        asio::post(strand_, [this, version]() { synchronizer_->catch_up_vms(version); });
+    }
+
     std::size_t listed_vms() const { return shared_.vms.read()->vms.size(); }
 
 private:
@@ -158,4 +164,19 @@
         wait_for_all(settling_time, [](const lone_synchronizer& row) { return row.leaving_vms() == 1; }));
 }
 
+// A silent watch must not hide a leaving endpoint of which another daemon knows. The limit is the shortest
+// time for which an endpoint serves after it has announced that it is leaving.
+BOOST_FIXTURE_TEST_CASE(a_change_that_another_daemon_knows_is_read_despite_a_silent_watch, fixture) {
+    constexpr std::chrono::seconds drain_time{2};
+    BOOST_REQUIRE(wait_for_all(std::chrono::seconds(5), [](const lone_synchronizer& row) {
+        return row.listed_vms() == 1 && row.leaving_vms() == 0;
+    }));
+    platform->set_fault({emulator::platform_fault_mode::silent_watches, {}});
+    set_vms(object_api::vm_state::leaving);
+    for (const std::unique_ptr<lone_synchronizer>& row : synchronizers) {
+        row->report_change(1000);
+    }
+    BOOST_TEST(wait_for_all(drain_time, [](const lone_synchronizer& row) { return row.leaving_vms() == 1; }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/emulator/include/rattanbay/emulator/platform_fault.hpp
+++ b/packages/emulator/include/rattanbay/emulator/platform_fault.hpp
@@ -16,6 +16,8 @@
     lose_answers,
     /// Answers reads, listings and watches with data as old as the delay.
     stale,
+    /// Watches report no changes.
+    silent_watches,
 };
 
 /// Fault of the emulated platform and its delay.
@@ -27,11 +29,12 @@
 } // namespace rattanbay::emulator
 
 template <> struct rattanbay::base::enum_names<rattanbay::emulator::platform_fault_mode> {
-    static constexpr std::array<enum_name<emulator::platform_fault_mode>, 5> table{{
+    static constexpr std::array<enum_name<emulator::platform_fault_mode>, 6> table{{
         {emulator::platform_fault_mode::none, "none"},
         {emulator::platform_fault_mode::down, "down"},
         {emulator::platform_fault_mode::slow, "slow"},
         {emulator::platform_fault_mode::lose_answers, "lose_answers"},
         {emulator::platform_fault_mode::stale, "stale"},
+        {emulator::platform_fault_mode::silent_watches, "silent_watches"},
     }};
 };
--- a/packages/emulator/src/internal/platform_json.cpp
+++ b/packages/emulator/src/internal/platform_json.cpp
@@ -132,7 +132,7 @@
         mode.is_string() ? base::from_name<platform_fault_mode>(mode.get<std::string>()) : std::nullopt;
     if (!known) {
         return base::fail(base::error_code::invalid_input,
-                          "'mode' has to be none, down, slow, lose_answers or stale");
+                          "'mode' has to be none, down, slow, lose_answers, stale or silent_watches");
     }
     const json delay = document.value("delay_ms", json(0U));
     if (!delay.is_number_unsigned()) {
--- a/packages/emulator/src/internal/platform_state.cpp
+++ b/packages/emulator/src/internal/platform_state.cpp
@@ -177,8 +177,10 @@
         base::duration wait = end - now();
         {
             const std::lock_guard<std::mutex> lock(mutex_);
+            const bool is_silent =
+                fault_.mode == platform_fault_mode::silent_watches && timeout > base::duration::zero();
             const std::optional<object_api::answer> found = query(read_time());
-            if (found) {
+            if (found && !is_silent) {
                 co_return to_response(*found);
             }
             const bool changes_with_time =
--- a/packages/membership/include/rattanbay/membership/detector.hpp
+++ b/packages/membership/include/rattanbay/membership/detector.hpp
@@ -81,7 +81,12 @@
     base::address at;
 };
 
-using action = std::variant<send_datagram, member_changed, revision_seen>;
+/// A member's VM list contains a newer change than this daemon's.
+struct vm_list_change_seen {
+    std::uint64_t version = 0;
+};
+
+using action = std::variant<send_datagram, member_changed, revision_seen, vm_list_change_seen>;
 
 /// SWIM failure detector and member table of one daemon. In each interval it probes one member, first
 /// directly and then through other members. Traffic per daemon is independent of the cluster size.
--- a/packages/membership/src/detector.cpp
+++ b/packages/membership/src/detector.cpp
@@ -79,6 +79,7 @@
             changed.self.ledger == self_.ledger && changed.self.ledger_window == self_.ledger_window &&
             changed.self.ledger_recorded == self_.ledger_recorded;
         self_.load = changed.self.load;
+        self_.vm_list_change = changed.self.vm_list_change;
         if (same_record) {
             return;
         }
@@ -168,6 +169,9 @@
             mark_predecessor_gone(sender);
             merge(sender);
             table_.set_load(sender.id, sender.load);
+            if (sender.vm_list_change > self_.vm_list_change) {
+                actions_.emplace_back(vm_list_change_seen{sender.vm_list_change});
+            }
         }
         for (const peer::member_record& update : updates) {
             merge(update);
@@ -190,7 +194,9 @@
         }
     }
 
-    void merge(const peer::member_record& record, bool without_gossip = false) {
+    void merge(peer::member_record record, bool without_gossip = false) {
+        // The value is only current in a member's own datagrams, and 0 takes the least space in others.
+        record.vm_list_change = 0;
         if (record.id == self_.id) {
             refute(record);
             return;
--- a/packages/membership/test/detector_test.cpp
+++ b/packages/membership/test/detector_test.cpp
@@ -155,4 +155,21 @@
     }
 }
 
+// A daemon whose watch of the VM list is silent must learn soon that the others have a newer list, at any
+// size. The limit is the shortest time for which an endpoint serves after it has announced that it is
+// leaving.
+BOOST_AUTO_TEST_CASE(a_newer_vm_list_is_seen_in_time_at_full_size) {
+    for (const std::size_t size : {std::size_t{8}, std::size_t{80}, std::size_t{320}}) {
+        simulated_cluster cluster(size, 9);
+        exchange_member_tables(cluster);
+        cluster.run(1s);
+        for (std::size_t n = 0; n + 1 < size; ++n) {
+            cluster.set_vm_list_change(n, 7);
+        }
+        BOOST_TEST(cluster.detector(size - 1).self().vm_list_change == 0U);
+        cluster.run(2s);
+        BOOST_TEST(cluster.detector(size - 1).self().vm_list_change == 7U);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/membership/test/simulated_cluster.hpp
+++ b/packages/membership/test/simulated_cluster.hpp
@@ -54,6 +54,13 @@
         perform(n, detector(n).handle(rattanbay::membership::self_changed{self}, now_));
     }
 
+    /// Sets the version of the newest change in the VM list of daemon `n`.
+    void set_vm_list_change(std::size_t n, std::uint64_t version) {
+        rattanbay::peer::member_record self = detector(n).self();
+        self.vm_list_change = version;
+        perform(n, detector(n).handle(rattanbay::membership::self_changed{self}, now_));
+    }
+
     /// Passes the member table of daemon `from` to daemon `n`, like a state reply at startup.
     void copy_table(std::size_t from, std::size_t n) {
         const rattanbay::membership::member_table_received received{detector(from).members()};
@@ -136,6 +143,9 @@
             } else if (const auto* seen = std::get_if<rattanbay::membership::revision_seen>(&next)) {
                 // The document is fetched immediately.
                 set_revision(n, std::max(seen->revision, detector(n).self().revision));
+            } else if (const auto* change = std::get_if<rattanbay::membership::vm_list_change_seen>(&next)) {
+                // The list is read immediately.
+                set_vm_list_change(n, std::max(change->version, detector(n).self().vm_list_change));
             }
         }
     }
--- a/packages/object_api/include/rattanbay/object_api/answer.hpp
+++ b/packages/object_api/include/rattanbay/object_api/answer.hpp
@@ -58,6 +58,8 @@
     std::size_t unusable_count = 0;
     /// Cursor of this page; empty for the first page.
     std::string after;
+    /// Version of the newest change in the page; at most `version`.
+    std::uint64_t newest_change = 0;
 };
 
 /// Changes of the VM list.
@@ -67,6 +69,8 @@
     std::vector<base::vm_id> removed;
     /// Number of entries in `removed` that exist but are unusable.
     std::size_t unusable_count = 0;
+    /// Version of the newest of the changes; at most `version`.
+    std::uint64_t newest_change = 0;
 };
 
 /// Names and versions of the objects of a kind.
--- a/packages/object_api/include/rattanbay/object_api/vm_directory.hpp
+++ b/packages/object_api/include/rattanbay/object_api/vm_directory.hpp
@@ -24,6 +24,9 @@
     /// Cursor of the next page to read, or nothing if the list is complete and changes can be watched.
     const std::optional<std::string>& next_page_after() const { return next_page_after_; }
 
+    /// Whether a complete list is older than this one, so that `apply` ignores it.
+    bool is_stale(const vm_list& list) const { return list.version < version_; }
+
     /// Whether a page is older than the list, or than the first page of the listing in progress, so that
     /// `apply` ignores it.
     bool is_stale(const vm_page& page) const;
@@ -49,8 +52,13 @@
     /// Removes the entries whose grace period has ended; returns whether any were removed.
     bool remove_expired(base::time_point now);
 
+    /// Version up to which all changes are known.
     std::uint64_t version() const { return version_; }
 
+    /// Version of the newest change that was applied; at most `version`. A platform whose versions count all
+    /// its objects advances `version` without changes of the VM list.
+    std::uint64_t newest_change() const { return newest_change_; }
+
     /// The VMs to use. A missing entry in its grace period is only included if most live entries of its
     /// service are missing: an outage lets all of them expire, while single ones are VMs that have left.
     vm_list list() const;
@@ -76,6 +84,7 @@
     /// them.
     std::map<base::vm_id, std::uint64_t> removed_versions_;
     std::uint64_t version_ = 0;
+    std::uint64_t newest_change_ = 0;
     std::optional<std::string> next_page_after_{""};
     /// Version of the first page; changes are watched from here after the last page.
     std::uint64_t listing_version_ = 0;
--- a/packages/object_api/src/vm_directory.cpp
+++ b/packages/object_api/src/vm_directory.cpp
@@ -54,6 +54,7 @@
     for (const vm& listed : page.vms) {
         upsert(listed, page.version);
     }
+    newest_change_ = std::max(newest_change_, page.newest_change);
     next_page_after_ = page.next_after;
     if (next_page_after_) {
         return;
@@ -71,11 +72,11 @@
 }
 
 void vm_directory::apply(const vm_list& list, base::time_point now) {
-    if (list.version < version_) {
+    if (is_stale(list)) {
         return;
     }
     next_page_after_ = "";
-    apply(vm_page{list.version, list.vms, std::nullopt, 0, {}}, now);
+    apply(vm_page{list.version, list.vms, std::nullopt, 0, {}, list.version}, now);
 }
 
 void vm_directory::apply(const vm_changes& changes, base::time_point now) {
@@ -89,6 +90,7 @@
     for (const base::vm_id& id : changes.removed) {
         apply_removal(id, changes.version, now);
     }
+    newest_change_ = std::max(newest_change_, changes.newest_change);
     advance_to(changes.version);
 }
 
--- a/packages/peer/include/rattanbay/peer/member_record.hpp
+++ b/packages/peer/include/rattanbay/peer/member_record.hpp
@@ -31,6 +31,9 @@
     base::incarnation ledger;
     std::uint64_t ledger_window = 0;
     bool ledger_recorded = false;
+    /// Version of the newest change in the VM list in use at the member; 0 if it has none. A change does not
+    /// increase `sequence`.
+    std::uint64_t vm_list_change = 0;
 
     friend bool operator==(const member_record&, const member_record&) = default;
 };
--- a/packages/peer/src/internal/wire.hpp
+++ b/packages/peer/src/internal/wire.hpp
@@ -121,7 +121,7 @@
             wire::pack_fields(out, value.id, value.vm, value.failure_domain, value.peer_address,
                               value.caller_address, value.sequence, static_cast<std::uint8_t>(value.status),
                               value.draining, value.revision, value.load, value.ledger, value.ledger_window,
-                              value.ledger_recorded);
+                              value.ledger_recorded, value.vm_list_change);
             return out;
         }
     };
@@ -134,6 +134,11 @@
                                 value.caller_address, value.sequence, status, value.draining, value.revision,
                                 value.load, value.ledger, value.ledger_window, value.ledger_recorded);
             value.status = wire::checked_enum_cast<rattanbay::peer::member_status>(status, 3);
+            // Daemons of earlier versions send no further field.
+            constexpr std::uint32_t vm_list_change_index = 13;
+            if (from.via.array.size > vm_list_change_index) {
+                wire::array_element(from, vm_list_change_index).convert(value.vm_list_change);
+            }
             return from;
         }
     };
--- a/packages/peer/test/codec_test.cpp
+++ b/packages/peer/test/codec_test.cpp
@@ -1,3 +1,5 @@
+#include "internal/wire.hpp"
+
 #include <rattanbay/peer.hpp>
 
 #include <boost/test/unit_test.hpp>
@@ -28,6 +30,7 @@
     record.ledger = base::incarnation::generate(random);
     record.ledger_window = 77;
     record.ledger_recorded = true;
+    record.vm_list_change = 31;
     return record;
 }
 
@@ -35,6 +38,18 @@
 
 BOOST_AUTO_TEST_SUITE(codec)
 
+// Daemons of earlier versions send records without the version of the VM list.
+BOOST_AUTO_TEST_CASE(records_of_earlier_versions_are_read) {
+    msgpack::sbuffer buf;
+    msgpack::pack(buf, sample_record(1));
+    const msgpack::object_handle handle = msgpack::unpack(buf.data(), buf.size());
+    msgpack::object packed = handle.get();
+    packed.via.array.size -= 1;
+    peer::member_record expected = sample_record(1);
+    expected.vm_list_change = 0;
+    BOOST_CHECK(packed.as<peer::member_record>() == expected);
+}
+
 // Guards against a field of a message being lost or swapped during encoding.
 BOOST_AUTO_TEST_CASE(messages_survive_the_wire) {
     const peer::datagram sent =
