--- a/packages/daemon/src/internal/state_synchronizer.hpp
+++ b/packages/daemon/src/internal/state_synchronizer.hpp
@@ -2,6 +2,7 @@
 
 #include "peer_transport.hpp"
 #include "shared_state.hpp"
+#include "vm_list_publisher.hpp"
 
 #include <rattanbay/config/adoption.hpp>
 #include <rattanbay/config/document_object.hpp>
@@ -51,14 +52,6 @@
     base::time_point last_platform_answer() const { return last_platform_answer_; }
 
 private:
-    /// Call that brought an answer about the VM list, and the answer's version.
-    struct vm_answer_source {
-        std::string_view call;
-        std::uint64_t version = 0;
-    };
-
-    struct vm_answer_source_reader;
-
     asio::awaitable<void> watch_document();
     base::duration read_interval() const;
     asio::awaitable<void> read_document_periodically();
@@ -88,12 +81,7 @@
     /// Whether the answer is a list or a page that is too old to be applied.
     bool is_stale_list(const object_api::answer& answer) const;
     void apply_vm_answer(const object_api::answer& answer);
-    /// Logs and counts an answer about the VM list before it is applied.
-    void record_vm_answer(const vm_answer_source& source, bool is_unchanged);
-    static void log_unusable_entries(std::size_t entries);
     void apply_peer_vms(const object_api::vm_list& list);
-    void publish_vms(const object_api::vm_list& list, const vm_answer_source& source);
-    void publish_endpoints();
 
     shared_state& shared_;
     control_strand strand_;
@@ -101,6 +89,7 @@
     peer_transport& transport_;
     members_handler on_members_;
     revision_handler on_revision_;
+    vm_list_publisher publisher_;
     config::document_adoption adoption_;
     base::random_source random_;
     std::uint64_t document_version_ = 0;
--- a/packages/daemon/src/state_synchronizer.cpp
+++ b/packages/daemon/src/state_synchronizer.cpp
@@ -1,8 +1,7 @@
 #include "internal/state_synchronizer.hpp"
 
 #include "internal/clock.hpp"
-
-#include <rattanbay/object_api/vm_list_diff.hpp>
+#include "internal/watch_failures.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -15,8 +14,6 @@
 
 namespace {
 
-/// Timeout of a watch call. The adapter adds a margin, so an unresponsive call is detected after 10 s.
-constexpr std::chrono::seconds watch_timeout{8};
 /// Periodic reads find changes that a watch missed. Daemons tell each other about new documents, so they
 /// share this work: the daemons together read once per `cluster_read_interval` on average, and each daemon
 /// reads at least once per `max_read_interval`.
@@ -61,70 +58,8 @@
     return parsed ? std::optional<base::address>(*parsed) : std::nullopt;
 }
 
-/// Consecutive failures of a watch.
-class watch_failures {
-public:
-    /// Time for which the platform may delay the next answer. After a failure it has to answer immediately,
-    /// so that its recovery is known at once.
-    base::duration wait() const { return last_failed_ ? base::duration::zero() : watch_timeout; }
-
-    bool last_failed() const { return last_failed_; }
-
-    unsigned count() const { return count_; }
-
-    void record(bool usable) {
-        if (!usable) {
-            ++count_;
-        } else if (!last_failed_) {
-            // An immediate answer does not show yet that a watch succeeds.
-            count_ = 0;
-        }
-        last_failed_ = !usable;
-    }
-
-private:
-    unsigned count_ = 0;
-    bool last_failed_ = false;
-};
-
-/// Identifiers for a log line, which lists at most `max_logged_vms` of them.
-std::string join_for_log(const std::vector<base::vm_id>& ids) {
-    constexpr std::size_t max_logged_vms = 16;
-    std::string out;
-    for (std::size_t n = 0; n < std::min(ids.size(), max_logged_vms); ++n) {
-        out += (n > 0 ? " " : "") + ids[n].text();
-    }
-    return ids.size() > max_logged_vms ? out + " and " + std::to_string(ids.size() - max_logged_vms) + " more"
-                                       : out;
-}
-
 } // namespace
 
-/// Finds the source of an answer; returns nothing if the answer is not about the VM list.
-struct state_synchronizer::vm_answer_source_reader {
-    std::uint64_t current_version = 0;
-
-    std::optional<vm_answer_source> operator()(const object_api::vm_list& answer) const {
-        return vm_answer_source{"list", answer.version};
-    }
-
-    std::optional<vm_answer_source> operator()(const object_api::vm_page& answer) const {
-        return vm_answer_source{"list", answer.version};
-    }
-
-    std::optional<vm_answer_source> operator()(const object_api::vm_changes& answer) const {
-        return vm_answer_source{"watch", answer.version};
-    }
-
-    std::optional<vm_answer_source> operator()(const object_api::unchanged& answer) const {
-        return vm_answer_source{"watch", answer.version == 0 ? current_version : answer.version};
-    }
-
-    template <class Other> std::optional<vm_answer_source> operator()(const Other&) const {
-        return std::nullopt;
-    }
-};
-
 state_synchronizer::state_synchronizer(shared_state& shared, control_strand strand, platform_client& platform,
                                        peer_transport& transport, members_handler on_members,
                                        revision_handler on_revision)
@@ -134,6 +69,7 @@
     , transport_(transport)
     , on_members_(std::move(on_members))
     , on_revision_(std::move(on_revision))
+    , publisher_(shared)
     , random_(shared.next_seed())
     , directory_(shared.settings.relay ? shared.settings.relay->relisting_grace_period : base::duration{})
     , last_platform_answer_(now()) {}
@@ -317,7 +253,7 @@
     while (true) {
         co_await sleep_for(expiry_check_interval);
         if (directory_.remove_expired(now())) {
-            publish_vms(directory_.list(), {"expiry", directory_.version()});
+            publisher_.publish(directory_.list(), {"expiry", directory_.version()});
         }
     }
 }
@@ -329,22 +265,22 @@
 }
 
 void state_synchronizer::apply_vm_answer(const object_api::answer& answer) {
-    const std::optional<vm_answer_source> source =
-        std::visit(vm_answer_source_reader{directory_.version()}, answer);
+    const std::optional<vm_list_source> source = vm_list_source_of(answer, directory_.version());
     if (source) {
-        record_vm_answer(*source, std::holds_alternative<object_api::unchanged>(answer));
+        publisher_.record_answer(*source, directory_.version(),
+                                 std::holds_alternative<object_api::unchanged>(answer));
     }
     if (const object_api::vm_list* list = std::get_if<object_api::vm_list>(&answer)) {
         directory_.apply(*list, now());
     } else if (const object_api::vm_page* page = std::get_if<object_api::vm_page>(&answer)) {
         directory_.apply(*page, now());
-        log_unusable_entries(page->unusable_count);
+        vm_list_publisher::log_unusable_entries(page->unusable_count);
         if (directory_.next_page_after()) {
             return;
         }
     } else if (const object_api::vm_changes* changes = std::get_if<object_api::vm_changes>(&answer)) {
         directory_.apply(*changes, now());
-        log_unusable_entries(changes->unusable_count);
+        vm_list_publisher::log_unusable_entries(changes->unusable_count);
     } else if (const object_api::unchanged* unchanged = std::get_if<object_api::unchanged>(&answer)) {
         directory_.advance_to(unchanged->version);
         return;
@@ -356,23 +292,7 @@
     } else {
         return;
     }
-    publish_vms(directory_.list(), *source);
-}
-
-void state_synchronizer::record_vm_answer(const vm_answer_source& source, bool is_unchanged) {
-    const bool is_stale = source.version < directory_.version();
-    std::string_view result = is_unchanged ? "unchanged" : "applied";
-    if (is_stale) {
-        result = "stale";
-        telemetry::log(telemetry::log_event::vm_list_answer_stale,
-                       {{"call", std::string(source.call)},
-                        {"answer_version", std::to_string(source.version)},
-                        {"version", std::to_string(directory_.version())}});
-    }
-    shared_.metrics.record_vm_list_answer(source.call, result);
-    shared_.metrics.set_vm_list_confirmed(std::max(source.version, directory_.version()),
-                                          telemetry::wall_clock_us());
-    shared_.vms_confirmed_at.store(now());
+    publisher_.publish(directory_.list(), *source);
 }
 
 asio::awaitable<void> state_synchronizer::fetch_from_seeds() {
@@ -528,7 +448,7 @@
     if (document->relay) {
         shared_.relay->adopt(document);
     }
-    publish_endpoints();
+    publisher_.publish_endpoints();
     on_revision_(document->revision);
     const std::string revision = std::to_string(document->revision);
     telemetry::log(telemetry::log_event::document_adopted,
@@ -536,52 +456,12 @@
     shared_.record({}, telemetry::timeline_event::document_adopted, {{"revision", revision}});
 }
 
-void state_synchronizer::log_unusable_entries(std::size_t entries) {
-    if (entries > 0) {
-        telemetry::log(telemetry::log_event::entries_unusable, {{"entries", std::to_string(entries)}});
-    }
-}
-
 void state_synchronizer::apply_peer_vms(const object_api::vm_list& list) {
     // A peer's list is better than none, but only until the platform's own list is complete.
     if (directory_.version() > 0 || list.version <= shared_.vms.read()->version) {
         return;
     }
-    publish_vms(list, {"peer", list.version});
-}
-
-void state_synchronizer::publish_vms(const object_api::vm_list& list, const vm_answer_source& source) {
-    const std::shared_ptr<const object_api::vm_list> previous = shared_.vms.read();
-    if (list.vms == previous->vms) {
-        return;
-    }
-    shared_.vms.publish(std::make_shared<object_api::vm_list>(list));
-    publish_endpoints();
-    std::size_t leaving = 0;
-    for (const object_api::vm& row : list.vms) {
-        leaving += row.state == object_api::vm_state::leaving ? 1 : 0;
-    }
-    const object_api::vm_list_diff diff = object_api::vm_list_diff::between(*previous, list);
-    telemetry::log(telemetry::log_event::vm_list_changed,
-                   {{"version", std::to_string(list.version)},
-                    {"previous_version", std::to_string(previous->version)},
-                    {"answer_version", std::to_string(source.version)},
-                    {"source", std::string(source.call)},
-                    {"vms", std::to_string(list.vms.size())},
-                    {"leaving", std::to_string(leaving)},
-                    {"now_live", join_for_log(diff.live)},
-                    {"now_leaving", join_for_log(diff.leaving)},
-                    {"removed", join_for_log(diff.removed)}});
-}
-
-void state_synchronizer::publish_endpoints() {
-    const std::shared_ptr<const serving_state> serving = shared_.serving.read();
-    if (serving->document) {
-        shared_.router.publish(routing::endpoint_table(*shared_.vms.read(), *serving->document));
-    }
-    if (shared_.relay) {
-        shared_.relay->balancer.update(*shared_.vms.read());
-    }
+    publisher_.publish(list, {"peer", list.version});
 }
 
 } // namespace rattanbay::daemon::internal
