Count calls, stages and failovers of worker pools

They now count calls by result, stages by scheduler and result, failovers and unused results for each pool, and show its queue; a line is logged for each stage that a scheduler gives up. No decision changes.

--- a/packages/daemon/src/control.cpp
+++ b/packages/daemon/src/control.cpp
@@ -97,7 +97,7 @@
         [this](const std::vector<peer::member_record>& members) { members_->merge_members(members); },
         [this](std::uint64_t revision) { handle_adopted_revision(revision); });
     if (shared_.relay) {
-        piece_pool_ = std::make_shared<piece_pool>(*shared_.relay, strand_);
+        piece_pool_ = std::make_shared<piece_pool>(*shared_.relay, shared_.metrics, strand_);
         piece_router_ = std::make_shared<piece_router>(shared_, *piece_pool_, *transport_, strand_);
     }
     ledger_ = std::make_shared<ledger_driver>(
--- a/packages/daemon/src/internal/piece_pool.hpp
+++ b/packages/daemon/src/internal/piece_pool.hpp
@@ -3,6 +3,8 @@
 #include "peer_transport.hpp"
 #include "relay_state.hpp"
 
+#include <rattanbay/telemetry/metrics.hpp>
+
 #include <tl/expected.hpp>
 
 #include <cstdint>
@@ -38,7 +40,7 @@
 /// Runs on the control strand.
 class piece_pool : public std::enable_shared_from_this<piece_pool> {
 public:
-    piece_pool(relay_state& relay, control_strand strand);
+    piece_pool(relay_state& relay, telemetry::metrics& metrics, control_strand strand);
 
     /// Queues the pieces of a stage. `on_done` is called once, unless the stage is cancelled.
     relay::stage_id submit(stage_request request, stage_handler on_done);
@@ -95,6 +97,7 @@
     asio::awaitable<void> send_release(base::address holder, std::vector<std::string> handles);
 
     relay_state& relay_;
+    telemetry::metrics& metrics_;
     control_strand strand_;
     relay::stage_id last_stage_id_ = 0;
     relay::piece_id last_piece_id_ = 0;
--- a/packages/daemon/src/internal/piece_router.hpp
+++ b/packages/daemon/src/internal/piece_router.hpp
@@ -37,6 +37,8 @@
     std::vector<peer::member_record> schedulers_for(const base::service_name& service);
     void mark_unreachable(const peer::member_record& scheduler);
     asio::awaitable<void> submit_with_failover(stage_request request, stage_handler on_done);
+    void record_stage(const base::service_name& service, std::string_view scheduler,
+                      const stage_result& result);
     /// Returns false, without calling `on_done`, if the other daemon could not be reached.
     asio::awaitable<bool> submit_to_peer(peer::member_record scheduler, const stage_request& request,
                                          const stage_handler& on_done);
--- a/packages/daemon/src/piece_pool.cpp
+++ b/packages/daemon/src/piece_pool.cpp
@@ -36,8 +36,9 @@
 
 } // namespace
 
-piece_pool::piece_pool(relay_state& relay, control_strand strand)
+piece_pool::piece_pool(relay_state& relay, telemetry::metrics& metrics, control_strand strand)
     : relay_(relay)
+    , metrics_(metrics)
     , strand_(strand) {}
 
 relay::stage_id piece_pool::submit(stage_request request, stage_handler on_done) {
@@ -142,6 +143,7 @@
             strand_, [self, service, next = std::move(*batch)]() { return self->send_batch(service, next); },
             asio::detached);
     }
+    metrics_.set_waiting_pieces(service, queue.scheduler.waiting());
     if (queue.scheduler.needs_wakeup()) {
         schedule_wakeup(service);
     }
@@ -195,6 +197,7 @@
                           relay::attempt_result result, base::time_point start, const std::string& detail) {
     const relay::waiting_piece& first = batch.pieces.front();
     const bool succeeded = result == relay::attempt_result::answered;
+    metrics_.record_piece_call(service, base::to_name(result));
     telemetry::log(succeeded ? telemetry::log_event::piece_call_ended
                              : telemetry::log_event::piece_call_failed,
                    {{"request", first.order.request.text()},
@@ -268,6 +271,7 @@
         }
     }
     if (!unneeded.empty()) {
+        metrics_.add_unused_results(service, unneeded.size());
         release(service, unneeded);
     }
 }
@@ -324,6 +328,16 @@
     if (stage == stages_.end()) {
         return;
     }
+    const stage_request& request = stage->second.request;
+    telemetry::log(telemetry::log_event::piece_stage_failed,
+                   {{"request", request.order.request.text()},
+                    {"stage", std::to_string(request.order.stage)},
+                    {"service", request.service.text()},
+                    {"reason", std::string(base::to_name(failure))},
+                    {"pending_pieces", std::to_string(stage->second.pending_pieces)},
+                    {"pieces", std::to_string(request.order.pieces)},
+                    {"still_waiting", std::to_string(queues_[request.service].scheduler.waiting())},
+                    {"left_ms", std::to_string(base::to_milliseconds(request.latest_start - now()))}});
     const stage_handler on_done = std::move(stage->second.on_done);
     remove_stage(stage);
     on_done(tl::unexpected(failure));
--- a/packages/daemon/src/piece_router.cpp
+++ b/packages/daemon/src/piece_router.cpp
@@ -77,12 +77,26 @@
         if (scheduler.id == shared_.id) {
             break;
         }
-        if (co_await submit_to_peer(scheduler, request, on_done)) {
+        const stage_handler on_result = [self, &request, &on_done](const stage_result& result) {
+            self->record_stage(request.service, "peer", result);
+            on_done(result);
+        };
+        if (co_await submit_to_peer(scheduler, request, on_result)) {
             co_return;
         }
         mark_unreachable(scheduler);
+        shared_.metrics.record_scheduler_failover(request.service);
     }
-    pool_.submit(std::move(request), std::move(on_done));
+    const base::service_name service = request.service;
+    pool_.submit(std::move(request), [self, service, on_done = std::move(on_done)](const stage_result& result) {
+        self->record_stage(service, "own", result);
+        on_done(result);
+    });
+}
+
+void piece_router::record_stage(const base::service_name& service, std::string_view scheduler,
+                                const stage_result& result) {
+    shared_.metrics.record_stage(service, scheduler, result ? "made" : base::to_name(result.error()));
 }
 
 asio::awaitable<void> piece_router::cancel_when_lost(peer::member_record scheduler,
@@ -132,6 +146,7 @@
             {{"request", request.order.request.text()},
              {"service", request.service.text()},
              {"scheduler", scheduler.vm.text()},
+             {"took_ms", std::to_string(base::to_milliseconds(now() - time))},
              {"detail", response ? "the response has an unexpected type" : response.error().message}});
         co_return false;
     }
--- a/packages/relay/include/rattanbay/relay/messages.hpp
+++ b/packages/relay/include/rattanbay/relay/messages.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <rattanbay/base/address.hpp>
+#include <rattanbay/base/enum_names.hpp>
 #include <rattanbay/base/identifier.hpp>
 #include <rattanbay/base/time.hpp>
 #include <rattanbay/http/message.hpp>
@@ -137,3 +138,12 @@
 };
 
 } // namespace rattanbay::relay
+
+template <> struct rattanbay::base::enum_names<rattanbay::relay::piece_failure> {
+    static constexpr std::array<enum_name<relay::piece_failure>, 4> table{{
+        {relay::piece_failure::deadline_exceeded, "deadline_exceeded"},
+        {relay::piece_failure::input_missing, "input_missing"},
+        {relay::piece_failure::out_of_space, "out_of_space"},
+        {relay::piece_failure::failed, "failed"},
+    }};
+};
--- a/packages/telemetry/include/rattanbay/telemetry/metrics.hpp
+++ b/packages/telemetry/include/rattanbay/telemetry/metrics.hpp
@@ -43,6 +43,22 @@
     /// 1970.
     void set_vm_list_confirmed(std::uint64_t version, std::int64_t wall_us);
 
+    /// Counts a finished call to a worker pool by the result of the attempt.
+    void record_piece_call(const base::service_name& service, std::string_view result);
+
+    /// Counts a finished stage of this daemon's requests. `scheduler` is "own" if this daemon scheduled it, else
+    /// "peer".
+    void record_stage(const base::service_name& service, std::string_view scheduler, std::string_view result);
+
+    /// Counts stages that were handed to another scheduler because the first one gave no answer.
+    void record_scheduler_failover(const base::service_name& service);
+
+    /// Counts results of pieces that no request needs any more when they are made.
+    void add_unused_results(const base::service_name& service, std::size_t count);
+
+    /// Records the number of pieces that wait at this daemon, which schedules the worker pool.
+    void set_waiting_pieces(const base::service_name& service, std::size_t count);
+
     /// Counts bytes of control traffic to or from other daemons.
     void add_peer_bytes(std::string_view direction, std::size_t count);
 
--- a/packages/telemetry/src/metrics.cpp
+++ b/packages/telemetry/src/metrics.cpp
@@ -62,6 +62,29 @@
                                                                    .Name("rattanbay_vm_list_answers_total")
                                                                    .Help("Answers about the VM list")
                                                                    .Register(registry);
+    prometheus::Family<prometheus::Counter>& piece_calls = prometheus::BuildCounter()
+                                                               .Name("rattanbay_piece_calls_total")
+                                                               .Help("Calls to worker pools by result")
+                                                               .Register(registry);
+    prometheus::Family<prometheus::Counter>& stages = prometheus::BuildCounter()
+                                                          .Name("rattanbay_stages_total")
+                                                          .Help("Stages of requests by scheduler and result")
+                                                          .Register(registry);
+    prometheus::Family<prometheus::Counter>& scheduler_failovers =
+        prometheus::BuildCounter()
+            .Name("rattanbay_scheduler_failovers_total")
+            .Help("Stages handed to another scheduler after no answer")
+            .Register(registry);
+    prometheus::Family<prometheus::Counter>& unused_results =
+        prometheus::BuildCounter()
+            .Name("rattanbay_unused_results_total")
+            .Help("Results of pieces that no request needed any more")
+            .Register(registry);
+    prometheus::Family<prometheus::Gauge>& waiting_pieces =
+        prometheus::BuildGauge()
+            .Name("rattanbay_waiting_pieces")
+            .Help("Pieces that wait at the scheduler of a worker pool")
+            .Register(registry);
     prometheus::Gauge& vm_list_version = prometheus::BuildGauge()
                                              .Name("rattanbay_vm_list_version")
                                              .Help("Version of the VM list that the platform confirmed last")
@@ -117,6 +140,31 @@
     state_->vm_list_confirmed.Set(static_cast<double>(wall_us) / microseconds_per_second);
 }
 
+void metrics::record_piece_call(const base::service_name& service, std::string_view result) {
+    state_->piece_calls.Add({{"service", service.text()}, {"result", std::string(result)}}).Increment();
+}
+
+void metrics::record_stage(const base::service_name& service, std::string_view scheduler,
+                           std::string_view result) {
+    state_->stages
+        .Add({{"service", service.text()},
+              {"scheduler", std::string(scheduler)},
+              {"result", std::string(result)}})
+        .Increment();
+}
+
+void metrics::record_scheduler_failover(const base::service_name& service) {
+    state_->scheduler_failovers.Add({{"service", service.text()}}).Increment();
+}
+
+void metrics::add_unused_results(const base::service_name& service, std::size_t count) {
+    state_->unused_results.Add({{"service", service.text()}}).Increment(static_cast<double>(count));
+}
+
+void metrics::set_waiting_pieces(const base::service_name& service, std::size_t count) {
+    state_->waiting_pieces.Add({{"service", service.text()}}).Set(static_cast<double>(count));
+}
+
 void metrics::add_peer_bytes(std::string_view direction, std::size_t count) {
     state_->peer_traffic.Add({{"direction", std::string(direction)}}).Increment(static_cast<double>(count));
 }
