Cancel stages that their daemon has given up

Callers saw requests with stages refused or late for as long as the usual traffic went on after an overload.

Cause: the daemon that schedules a pool has one small processor. Saturated, it acknowledges a stage later than 0.5 s, and the daemon of the request hands the stage to the next scheduler. The first one kept the stage: it was made twice, its results were released by nobody and occupied space until they expired, and both schedulers sent calls to the same endpoints.

Change: closing the connection cancels the stage at its scheduler. A message whose connection is already closed is dropped before it is acknowledged, results that cannot be delivered are released, and a request that ends cancels its stages that are in progress.

--- a/packages/daemon/src/control.cpp
+++ b/packages/daemon/src/control.cpp
@@ -116,7 +116,9 @@
         [self](const base::address& from, peer::datagram message) {
             self->members_->receive(from, std::move(message));
         },
-        [self](peer::frame message) { return self->handle_frame(std::move(message)); });
+        [self](peer::frame message, std::shared_ptr<requester_link> requester) {
+            return self->handle_frame(std::move(message), std::move(requester));
+        });
     if (!started) {
         return started;
     }
@@ -158,13 +160,14 @@
     transport_->stop();
 }
 
-asio::awaitable<peer::frame> control_plane::handle_frame(peer::frame message) {
+asio::awaitable<peer::frame> control_plane::handle_frame(peer::frame message,
+                                                         std::shared_ptr<requester_link> requester) {
     if (const peer::state_request* request = std::get_if<peer::state_request>(&message)) {
         co_return state_->build_state_reply(*request, members_->members());
     }
     if (peer::make_pieces* pieces = std::get_if<peer::make_pieces>(&message)) {
         if (piece_router_) {
-            co_return co_await piece_router_->handle_make_pieces(std::move(*pieces));
+            co_return co_await piece_router_->handle_make_pieces(std::move(*pieces), std::move(requester));
         }
     }
     if (const peer::release_pieces* released = std::get_if<peer::release_pieces>(&message)) {
--- a/packages/daemon/src/input_stages.cpp
+++ b/packages/daemon/src/input_stages.cpp
@@ -126,7 +126,7 @@
     request.target_start = plan_.target_start - state.estimate.loaded.total();
     request.latest_start = plan_.latest_start - state.estimate.unloaded.total();
     const std::shared_ptr<input_stages> self = shared_from_this();
-    router_->submit(std::move(request), [self, stage](const stage_result& result) {
+    state.ticket = router_->submit(std::move(request), [self, stage](const stage_result& result) {
         asio::post(self->executor_, [self, stage, result]() { self->handle_result(stage, result); });
     });
 }
@@ -225,6 +225,10 @@
 void input_stages::release() {
     stopped_ = true;
     for (std::size_t n = 0; n < stages_.size(); ++n) {
+        if (stages_[n].ticket && !stages_[n].completed) {
+            router_->cancel(std::move(stages_[n].ticket));
+            stages_[n].ticket = nullptr;
+        }
         release(n);
     }
 }
--- a/packages/daemon/src/internal/control.hpp
+++ b/packages/daemon/src/internal/control.hpp
@@ -43,7 +43,7 @@
     void close_sockets() { transport_->stop(); }
 
 private:
-    asio::awaitable<peer::frame> handle_frame(peer::frame message);
+    asio::awaitable<peer::frame> handle_frame(peer::frame message, std::shared_ptr<requester_link> requester);
     asio::awaitable<peer::frame> handle_forward(peer::forward_request message);
     asio::awaitable<void> supervise();
     asio::awaitable<void> poll_loads();
--- a/packages/daemon/src/internal/input_stages.hpp
+++ b/packages/daemon/src/internal/input_stages.hpp
@@ -49,7 +49,7 @@
     /// Start and end of each stage in milliseconds since the start of `run`, for the log.
     std::string timings() const;
 
-    /// Releases all results.
+    /// Cancels the stages in progress and releases all results.
     void release();
 
 private:
@@ -58,6 +58,8 @@
         bool started = false;
         bool completed = false;
         std::vector<std::string> handles;
+        /// Cancels the stage while it is in progress.
+        std::shared_ptr<exchange_handle> ticket;
         std::optional<base::time_point> start_time;
         std::optional<base::time_point> end_time;
         relay::stage_estimate estimate;
--- a/packages/daemon/src/internal/peer_transport.hpp
+++ b/packages/daemon/src/internal/peer_transport.hpp
@@ -25,15 +25,34 @@
 /// Handles an authenticated datagram.
 using datagram_handler = std::function<void(const base::address&, peer::datagram)>;
 
+/// Connection of a daemon that waits for a reply; used on the control strand.
+struct requester_link {
+    /// Called once if the reply cannot be delivered, because the connection was closed.
+    std::function<void()> on_lost;
+    bool lost = false;
+
+    void notify_lost() {
+        if (!lost) {
+            lost = true;
+            if (on_lost) {
+                on_lost();
+            }
+        }
+    }
+};
+
 /// Handles a frame of another daemon and returns the reply; runs on the control strand.
-using frame_handler = std::function<asio::awaitable<peer::frame>(peer::frame)>;
+using frame_handler =
+    std::function<asio::awaitable<peer::frame>(peer::frame, std::shared_ptr<requester_link>)>;
 
 /// Cancels an exchange in progress; used on the control strand.
 struct exchange_handle {
     std::function<void()> abort;
     bool finished = false;
+    bool cancelled = false;
 
     void cancel() {
+        cancelled = true;
         if (abort) {
             abort();
         }
@@ -96,6 +115,11 @@
     asio::awaitable<void> receive_datagrams();
     asio::awaitable<void> accept_connections();
     asio::awaitable<void> serve(asio::ip::tcp::socket socket);
+    /// Acknowledges and handles a message whose reply takes long. Returns false if the requester has closed
+    /// the connection.
+    asio::awaitable<bool> serve_with_ack(stream_ptr stream, base::address remote, peer::frame message);
+    /// Notifies the link when the requester closes the connection.
+    asio::awaitable<void> watch_requester(stream_ptr stream, std::shared_ptr<requester_link> link);
 
     shared_state& shared_;
     control_strand strand_;
--- a/packages/daemon/src/internal/piece_router.hpp
+++ b/packages/daemon/src/internal/piece_router.hpp
@@ -13,20 +13,26 @@
 /// Sends the stages of this daemon's requests to the daemon that schedules their worker pool. Daemons with
 /// the same member table choose the same scheduler for a service, so pieces of all requests share calls. If
 /// the scheduler cannot be reached, the next daemons in the order are tried; if none of them can be reached,
-/// this daemon schedules the pieces itself. `submit` and `release` may be called from any thread; everything
-/// else runs on the control strand.
+/// this daemon schedules the pieces itself. `submit`, `cancel` and `release` may be called from any thread;
+/// everything else runs on the control strand.
 class piece_router : public std::enable_shared_from_this<piece_router> {
 public:
     piece_router(shared_state& shared, piece_pool& pool, peer_transport& transport, control_strand strand);
 
-    /// Submits the pieces of a stage to their scheduler. `on_done` is called once, on the control strand.
-    void submit(stage_request request, stage_handler on_done);
+    /// Submits the pieces of a stage to their scheduler. `on_done` is called once, on the control strand,
+    /// unless the stage is cancelled first.
+    std::shared_ptr<exchange_handle> submit(stage_request request, stage_handler on_done);
+
+    /// Cancels a stage that is no longer needed, wherever it is scheduled.
+    void cancel(std::shared_ptr<exchange_handle> ticket);
 
     /// Releases results that are no longer needed.
     void release(base::service_name service, std::vector<std::string> handles);
 
-    /// Handles a request for pieces from a daemon that considers this one the scheduler.
-    asio::awaitable<peer::frame> handle_make_pieces(peer::make_pieces message);
+    /// Handles a request for pieces from a daemon that considers this one the scheduler. The stage is
+    /// cancelled and its results are released if the other daemon gives it up.
+    asio::awaitable<peer::frame> handle_make_pieces(peer::make_pieces message,
+                                                    std::shared_ptr<requester_link> requester);
 
     /// Releases results of another daemon's requests.
     void handle_release(const peer::release_pieces& message);
@@ -36,12 +42,15 @@
     /// them.
     std::vector<peer::member_record> schedulers_for(const base::service_name& service);
     void mark_unreachable(const peer::member_record& scheduler);
-    asio::awaitable<void> submit_with_failover(stage_request request, stage_handler on_done);
+    asio::awaitable<void> submit_with_failover(stage_request request, stage_handler on_done,
+                                               std::shared_ptr<exchange_handle> ticket);
     void record_stage(const base::service_name& service, std::string_view scheduler,
                       const stage_result& result);
-    /// Returns false, without calling `on_done`, if the other daemon could not be reached.
+    /// Returns false, without calling `on_done`, if the other daemon could not be reached. `on_done` is not
+    /// called either if the ticket is cancelled.
     asio::awaitable<bool> submit_to_peer(peer::member_record scheduler, const stage_request& request,
-                                         const stage_handler& on_done);
+                                         const stage_handler& on_done,
+                                         std::shared_ptr<exchange_handle> ticket);
     asio::awaitable<void> release_with_failover(peer::release_pieces message);
     /// Cancels the exchange when the scheduler is no longer a live member.
     asio::awaitable<void> cancel_when_lost(peer::member_record scheduler,
--- a/packages/daemon/src/peer_transport.cpp
+++ b/packages/daemon/src/peer_transport.cpp
@@ -41,6 +41,15 @@
     return {ip.to_bytes(), port};
 }
 
+/// Whether the other side has closed the connection. Does not consume received data.
+bool is_closed(tcp::socket& socket) {
+    char byte = 0;
+    error_code ec;
+    socket.non_blocking(true, ec);
+    const std::size_t size = socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
+    return ec != asio::error::would_block && (ec || size == 0);
+}
+
 /// Reads one frame. `ec` is set if the connection fails; the result alone reports an invalid frame.
 asio::awaitable<base::result<peer::frame>> read_frame(beast::tcp_stream& stream, std::string_view secret,
                                                       base::duration timeout, error_code& ec) {
@@ -177,18 +186,51 @@
         if (stopped_) {
             co_return;
         }
-        const peer::frame ack = peer::accepted{};
-        const bool needs_ack = std::holds_alternative<peer::make_pieces>(*message);
-        if (needs_ack && !co_await write_frame(stream, remote, ack, write_timeout)) {
-            co_return;
+        if (std::holds_alternative<peer::make_pieces>(*message)) {
+            if (!co_await serve_with_ack(stream, remote, std::move(*message))) {
+                co_return;
+            }
+            continue;
         }
-        const peer::frame reply = co_await on_frame_(std::move(*message));
+        const peer::frame reply = co_await on_frame_(std::move(*message), std::make_shared<requester_link>());
         if (!co_await write_frame(stream, remote, reply, write_timeout)) {
             co_return;
         }
     }
 }
 
+asio::awaitable<bool> peer_transport::serve_with_ack(stream_ptr stream, base::address remote,
+                                                     peer::frame message) {
+    const std::shared_ptr<peer_transport> self = shared_from_this();
+    const peer::frame ack = peer::accepted{};
+    // A requester that has given up has closed the connection; its message is dropped unread.
+    if (is_closed(stream->socket()) || !co_await write_frame(stream, remote, ack, write_timeout)) {
+        co_return false;
+    }
+    const std::shared_ptr<requester_link> link = std::make_shared<requester_link>();
+    asio::co_spawn(
+        strand_, [self, stream, link]() { return self->watch_requester(stream, link); }, asio::detached);
+    const peer::frame reply = co_await on_frame_(std::move(message), link);
+    error_code ignored;
+    stream->socket().cancel(ignored);
+    if (link->lost || !co_await write_frame(stream, remote, reply, write_timeout)) {
+        link->notify_lost();
+        co_return false;
+    }
+    co_return true;
+}
+
+asio::awaitable<void> peer_transport::watch_requester(stream_ptr stream,
+                                                      std::shared_ptr<requester_link> link) {
+    const std::shared_ptr<peer_transport> self = shared_from_this();
+    error_code ec;
+    co_await stream->socket().async_wait(tcp::socket::wait_read,
+                                         asio::redirect_error(asio::use_awaitable, ec));
+    if (ec != asio::error::operation_aborted && is_closed(stream->socket())) {
+        link->notify_lost();
+    }
+}
+
 asio::awaitable<base::result<peer_transport::stream_ptr>> peer_transport::connect(base::address to,
                                                                                   base::duration timeout) {
     const stream_ptr stream = std::make_shared<beast::tcp_stream>(strand_);
@@ -275,7 +317,7 @@
         handle->abort = [stream = used]() { stream->close(); };
         base::result<peer::frame> reply = co_await exchange_on(used, to, message, timeout);
         // A pooled connection can be permanently unresponsive while new ones work.
-        if (reply || !reused || handle->finished) {
+        if (reply || !reused || handle->finished || handle->cancelled) {
             co_return reply;
         }
         reused = false;
--- a/packages/daemon/src/piece_router.cpp
+++ b/packages/daemon/src/piece_router.cpp
@@ -61,37 +61,49 @@
     unreachable_until_[scheduler.peer_address] = now() + unreachable_backoff;
 }
 
-void piece_router::submit(stage_request request, stage_handler on_done) {
+std::shared_ptr<exchange_handle> piece_router::submit(stage_request request, stage_handler on_done) {
     const std::shared_ptr<piece_router> self = shared_from_this();
+    const std::shared_ptr<exchange_handle> ticket = std::make_shared<exchange_handle>();
     asio::co_spawn(
         strand_,
-        [self, request = std::move(request), on_done = std::move(on_done)]() {
-            return self->submit_with_failover(request, on_done);
+        [self, request = std::move(request), on_done = std::move(on_done), ticket]() {
+            return self->submit_with_failover(request, on_done, ticket);
         },
         asio::detached);
+    return ticket;
 }
 
-asio::awaitable<void> piece_router::submit_with_failover(stage_request request, stage_handler on_done) {
+void piece_router::cancel(std::shared_ptr<exchange_handle> ticket) {
+    asio::post(strand_, [ticket = std::move(ticket)]() { ticket->cancel(); });
+}
+
+asio::awaitable<void> piece_router::submit_with_failover(stage_request request, stage_handler on_done,
+                                                         std::shared_ptr<exchange_handle> ticket) {
     const std::shared_ptr<piece_router> self = shared_from_this();
-    for (const peer::member_record& scheduler : schedulers_for(request.service)) {
-        if (scheduler.id == shared_.id) {
+    const base::service_name service = request.service;
+    for (const peer::member_record& scheduler : schedulers_for(service)) {
+        if (scheduler.id == shared_.id || ticket->cancelled) {
             break;
         }
-        const stage_handler on_result = [self, &request, &on_done](const stage_result& result) {
-            self->record_stage(request.service, "peer", result);
+        const stage_handler on_result = [self, &service, &on_done](const stage_result& result) {
+            self->record_stage(service, "peer", result);
             on_done(result);
         };
-        if (co_await submit_to_peer(scheduler, request, on_result)) {
+        if (co_await submit_to_peer(scheduler, request, on_result, ticket)) {
             co_return;
         }
         mark_unreachable(scheduler);
-        shared_.metrics.record_scheduler_failover(request.service);
+        shared_.metrics.record_scheduler_failover(service);
     }
-    const base::service_name service = request.service;
-    pool_.submit(std::move(request), [self, service, on_done = std::move(on_done)](const stage_result& result) {
-        self->record_stage(service, "own", result);
-        on_done(result);
-    });
+    if (ticket->cancelled) {
+        co_return;
+    }
+    const relay::stage_id stage = pool_.submit(
+        std::move(request), [self, service, on_done = std::move(on_done)](const stage_result& result) {
+            self->record_stage(service, "own", result);
+            on_done(result);
+        });
+    ticket->abort = [self, stage]() { self->pool_.cancel(stage); };
 }
 
 void piece_router::record_stage(const base::service_name& service, std::string_view scheduler,
@@ -119,8 +131,8 @@
 }
 
 asio::awaitable<bool> piece_router::submit_to_peer(peer::member_record scheduler,
-                                                   const stage_request& request,
-                                                   const stage_handler& on_done) {
+                                                   const stage_request& request, const stage_handler& on_done,
+                                                   std::shared_ptr<exchange_handle> ticket) {
     const std::shared_ptr<piece_router> self = shared_from_this();
     const base::time_point time = now();
     peer::make_pieces pieces_request{request.service, request.order, request.preferred_domain,
@@ -131,11 +143,16 @@
     asio::co_spawn(
         strand_, [self, scheduler, handle]() { return self->cancel_when_lost(scheduler, handle); },
         asio::detached);
+    ticket->abort = [handle]() { handle->cancel(); };
     const base::duration timeout = request.latest_start - time + exchange_timeout_margin;
     const base::result<peer::frame> response =
         co_await transport_.exchange_with_ack(scheduler.peer_address, std::move(message), timeout, handle);
     handle->finished = true;
+    ticket->abort = nullptr;
     const peer::pieces_made* const made = response ? std::get_if<peer::pieces_made>(&*response) : nullptr;
+    if (made == nullptr && ticket->cancelled) {
+        co_return true;
+    }
     if (made == nullptr && now() >= request.latest_start) {
         on_done(tl::unexpected(relay::piece_failure::deadline_exceeded));
         co_return true;
@@ -193,9 +210,11 @@
     pool_.release(message.service, message.handles);
 }
 
-asio::awaitable<peer::frame> piece_router::handle_make_pieces(peer::make_pieces message) {
+asio::awaitable<peer::frame> piece_router::handle_make_pieces(peer::make_pieces message,
+                                                              std::shared_ptr<requester_link> requester) {
     const std::shared_ptr<piece_router> self = shared_from_this();
     const base::time_point time = now();
+    const base::service_name service = message.service;
     stage_request request;
     request.service = message.service;
     request.order = std::move(message.order);
@@ -206,10 +225,20 @@
         std::make_shared<asio::steady_timer>(strand_, asio::steady_timer::time_point::max());
     const std::shared_ptr<std::optional<stage_result>> result =
         std::make_shared<std::optional<stage_result>>();
-    pool_.submit(std::move(request), [finished, result](const stage_result& made) {
-        *result = made;
-        finished->cancel();
-    });
+    const relay::stage_id stage =
+        pool_.submit(std::move(request), [finished, result](const stage_result& made) {
+            *result = made;
+            finished->cancel();
+        });
+    requester->on_lost = [self, service, stage, finished, result]() {
+        if (*result && **result) {
+            self->pool_.release(service, ***result);
+        } else if (!*result) {
+            self->pool_.cancel(stage);
+            *result = tl::unexpected(relay::piece_failure::failed);
+            finished->cancel();
+        }
+    };
     if (!*result) {
         boost::system::error_code ec;
         co_await finished->async_wait(asio::redirect_error(asio::use_awaitable, ec));
--- a/packages/telemetry/include/rattanbay/telemetry/metrics.hpp
+++ b/packages/telemetry/include/rattanbay/telemetry/metrics.hpp
@@ -46,8 +46,8 @@
     /// Counts a finished call to a worker pool by the result of the attempt.
     void record_piece_call(const base::service_name& service, std::string_view result);
 
-    /// Counts a finished stage of this daemon's requests. `scheduler` is "own" if this daemon scheduled it, else
-    /// "peer".
+    /// Counts a finished stage of this daemon's requests. `scheduler` is "own" if this daemon scheduled it,
+    /// else "peer".
     void record_stage(const base::service_name& service, std::string_view scheduler, std::string_view result);
 
     /// Counts stages that were handed to another scheduler because the first one gave no answer.
