Back off at endpoints that decline calls of a worker pool

Callers saw requests with stages refused or late after an overload.

Cause: while several daemons schedule one pool, each takes its endpoints for idle, and a call that finds its endpoint full was repeated every 50 ms without end.

Change: an endpoint gets no call for 50 ms after the first declined one; this doubles up to 0.8 s and ends with the first answered call. The new test failed before with 60 calls in 3 s; it allows 10.

--- a/packages/relay/include/rattanbay/relay/piece_scheduler.hpp
+++ b/packages/relay/include/rattanbay/relay/piece_scheduler.hpp
@@ -116,6 +116,7 @@
         /// Bytes of the results that the endpoint holds.
         std::uint64_t held_bytes = 0;
         std::uint32_t consecutive_failures = 0;
+        std::uint32_t consecutive_declines = 0;
         base::time_point ejected_until;
         base::time_point full_until;
     };
--- a/packages/relay/src/piece_scheduler.cpp
+++ b/packages/relay/src/piece_scheduler.cpp
@@ -16,12 +16,22 @@
 constexpr std::chrono::milliseconds max_locality_wait{60};
 /// Time for which an endpoint without space gets no work.
 constexpr std::chrono::milliseconds full_backoff{100};
+/// Time for which an endpoint gets no work after it declined a call. It doubles with each further declined
+/// call up to the maximum: the endpoint has work of another scheduler, which takes at least one call's time.
+constexpr std::chrono::milliseconds min_decline_backoff{50};
+constexpr std::chrono::milliseconds max_decline_backoff{800};
 /// Number of consecutive failures from which an endpoint is ejected, and the duration of the ejection.
 constexpr std::uint32_t ejection_threshold = 2;
 constexpr std::chrono::seconds ejection_time{2};
 /// Maximum number of stages examined for one call; limits the work when many stages wait for space.
 constexpr std::size_t max_examined_stages = 100;
 
+base::duration decline_backoff(std::uint32_t consecutive_declines) {
+    constexpr std::uint32_t max_doublings = 4;
+    const std::uint32_t doublings = std::min(consecutive_declines - 1, max_doublings);
+    return std::min<base::duration>(min_decline_backoff * (1U << doublings), max_decline_backoff);
+}
+
 } // namespace
 
 void piece_scheduler::configure(const config::piece_limits& limits,
@@ -276,8 +286,9 @@
     }
     if (result == attempt_result::answered) {
         state.consecutive_failures = 0;
+        state.consecutive_declines = 0;
     } else if (result == attempt_result::declined) {
-        state.full_until = now + full_backoff / 2;
+        state.full_until = now + decline_backoff(++state.consecutive_declines);
     } else if (++state.consecutive_failures >= ejection_threshold) {
         state.ejected_until = now + ejection_time;
     }
--- a/packages/relay/test/piece_scheduler_test.cpp
+++ b/packages/relay/test/piece_scheduler_test.cpp
@@ -271,4 +271,23 @@
     BOOST_TEST(scheduler.next_batch(at_ms(2100)).has_value());
 }
 
+// Guards against calls that are repeated at a constant rate at an endpoint which works for another scheduler.
+BOOST_FIXTURE_TEST_CASE(calls_to_an_endpoint_that_declines_them_become_rare, scheduler_fixture) {
+    scheduler.configure(limits, {endpoint("p1", "a", 1)});
+    BOOST_TEST(add(stage(1, 1000)));
+    int calls = 0;
+    for (std::int64_t ms = 0; ms < 3000; ms += 10) {
+        const std::optional<relay::piece_batch> batch = scheduler.next_batch(at_ms(ms));
+        if (batch) {
+            ++calls;
+            scheduler.end_call(batch->endpoint.id, relay::attempt_result::declined, {}, at_ms(ms));
+            scheduler.requeue(batch->pieces.front());
+        }
+    }
+    BOOST_TEST(calls >= 5);
+    BOOST_TEST(calls <= 10);
+    scheduler.end_call(base::endpoint_id("p1"), relay::attempt_result::answered, {}, at_ms(3000));
+    BOOST_TEST(scheduler.next_batch(at_ms(4000)).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
