Keep the priority of stages whose calls were declined

Callers saw urgent requests with stages served after less urgent ones while a pool was overloaded.

Cause: a stage whose call was declined counted as started. Started stages go first, as their results occupy space until the stage is complete; a declined call made none. So whatever was refused once overtook all other stages, and the order under load was that of the refusals.

Change: only a call that may have done work counts. The new test failed before: the pieces of the declined call came back before those with the earlier target start.

--- a/packages/daemon/src/piece_pool.cpp
+++ b/packages/daemon/src/piece_pool.cpp
@@ -265,7 +265,7 @@
             if (outcome.failure == relay::piece_failure::out_of_space) {
                 queues_[service].scheduler.mark_full(batch.endpoint.id, now());
             }
-            queues_[service].scheduler.requeue(piece);
+            queues_[service].scheduler.requeue(piece, relay::attempt_result::answered_with_failure);
         } else {
             fail_piece(piece.id, outcome.failure);
         }
@@ -295,7 +295,7 @@
         const bool allowed =
             !may_have_run || (++it->second.attempts < max_piece_attempts && try_spend_budget(service));
         if (allowed) {
-            queues_[service].scheduler.requeue(std::move(piece));
+            queues_[service].scheduler.requeue(std::move(piece), result);
         } else {
             fail_piece(piece.id, relay::piece_failure::failed);
         }
--- a/packages/relay/include/rattanbay/relay/piece_scheduler.hpp
+++ b/packages/relay/include/rattanbay/relay/piece_scheduler.hpp
@@ -78,8 +78,9 @@
     /// they cannot start in time behind the stages that precede them.
     bool add_stage(std::vector<waiting_piece> pieces, base::time_point now);
 
-    /// Queues a piece again after its call failed.
-    void requeue(waiting_piece piece);
+    /// Queues a piece again after its call ended with this result. A stage whose calls did no work keeps its
+    /// priority.
+    void requeue(waiting_piece piece, attempt_result result);
 
     /// Removes the waiting pieces of a stage that is no longer needed.
     void cancel_stage(stage_id stage);
--- a/packages/relay/src/piece_scheduler.cpp
+++ b/packages/relay/src/piece_scheduler.cpp
@@ -94,9 +94,10 @@
     return out;
 }
 
-void piece_scheduler::requeue(waiting_piece piece) {
+void piece_scheduler::requeue(waiting_piece piece, attempt_result result) {
     waiting_stage& stage = queue_[queue_key(piece.target_start, piece.stage)];
-    stage.started = true;
+    const bool has_run = result != attempt_result::declined && result != attempt_result::not_sent;
+    stage.started = stage.started || has_run;
     stage.pieces.push_back(std::move(piece));
     ++waiting_;
 }
--- a/packages/relay/test/piece_scheduler_test.cpp
+++ b/packages/relay/test/piece_scheduler_test.cpp
@@ -281,7 +281,7 @@
         if (batch) {
             ++calls;
             scheduler.end_call(batch->endpoint.id, relay::attempt_result::declined, {}, at_ms(ms));
-            scheduler.requeue(batch->pieces.front());
+            scheduler.requeue(batch->pieces.front(), relay::attempt_result::declined);
         }
     }
     BOOST_TEST(calls >= 5);
@@ -290,4 +290,19 @@
     BOOST_TEST(scheduler.next_batch(at_ms(4000)).has_value());
 }
 
+// Guards against a declined call that moves its pieces before those of more urgent requests.
+BOOST_FIXTURE_TEST_CASE(pieces_of_a_declined_call_keep_their_priority, scheduler_fixture) {
+    scheduler.configure(limits, {endpoint("p1", "a", 1)});
+    BOOST_TEST(add(stage(4, 900)));
+    const std::optional<relay::piece_batch> declined = scheduler.next_batch(at_ms(0));
+    BOOST_REQUIRE(declined.has_value());
+    scheduler.end_call(declined->endpoint.id, relay::attempt_result::declined, {}, at_ms(0));
+    for (const relay::waiting_piece& waiting : declined->pieces) {
+        scheduler.requeue(waiting, relay::attempt_result::declined);
+    }
+    BOOST_TEST(add(stage(4, 300)));
+    BOOST_TEST(ids(scheduler.next_batch(at_ms(100))) == (id_list{5, 6, 7, 8}),
+               boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
