Fetch an announced document until it is there

Callers may see a confirmed change in force late at single daemons (CONFIG).

Cause: a newer revision is announced to each daemon once by each member. The first announcement starts a fetch, and all others are dropped while it is in progress, up to 2 s. If that fetch fails, because its daemon was stopped, is cut off or saturated, the announcements are gone, and only the daemon's own watch (found silent after 10 s) or its own read (every 18 s with 72 members) brings the document. This is an event that triggers once where a state has to be reached.

Change: the highest announced revision is remembered and fetched until it is adopted, from the daemons that announced it and then from any live member that has it, with 0.7 s for each.

The new test failed before: behind a first daemon that is silent, and a platform that is down, the document was not there after 2 s.

--- a/packages/daemon/src/control.cpp
+++ b/packages/daemon/src/control.cpp
@@ -90,7 +90,7 @@
     , transport_(std::make_shared<peer_transport>(shared, strand)) {
     members_ = std::make_unique<membership_driver>(
         shared, strand, *transport_,
-        [this](std::uint64_t, const base::address& at) { state_->start_fetch(at); },
+        [this](std::uint64_t revision, const base::address& at) { state_->catch_up_document(revision, at); },
         [this](std::uint64_t version) { state_->catch_up_vms(version); });
     state_ = std::make_shared<state_synchronizer>(
         shared, strand, platform_, *transport_,
--- a/packages/daemon/src/internal/state_synchronizer.hpp
+++ b/packages/daemon/src/internal/state_synchronizer.hpp
@@ -12,8 +12,10 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 
 namespace rattanbay::daemon::internal {
@@ -30,8 +32,9 @@
 
     void start();
 
-    /// Starts fetching the state of another daemon, which has a document of a higher revision.
-    void start_fetch(const base::address& peer_address);
+    /// Fetches a document of at least this revision, which the daemon at `peer_address` has. If that one
+    /// gives no answer, others that have it are tried.
+    void catch_up_document(std::uint64_t revision, const base::address& peer_address);
 
     /// Reads the VM list if the watch does not bring the change of this version, which another daemon has, in
     /// time. Does nothing while the platform fails or an earlier call is in progress.
@@ -67,7 +70,9 @@
     /// Fetches the state of daemons that are registered in the platform but are not members.
     asio::awaitable<void> discover_registered_daemons();
     bool is_member(const base::address& peer_address) const;
-    asio::awaitable<bool> fetch_state_from(base::address peer_address);
+    asio::awaitable<void> fetch_wanted_document();
+    std::optional<base::address> choose_document_holder();
+    asio::awaitable<bool> fetch_state_from(base::address peer_address, base::duration timeout);
     asio::awaitable<object_api::answer> call(object_api::call request);
     /// Waits before a failed call is repeated, at most until the platform has answered another call.
     /// `failures` counts the consecutive failures of the call.
@@ -98,7 +103,10 @@
     bool platform_failing_ = false;
     /// Timers of the calls in `back_off`.
     std::set<asio::steady_timer*> delayed_calls_;
-    bool fetch_in_progress_ = false;
+    /// Highest revision that another daemon has announced, and the daemons that announced it last.
+    std::uint64_t wanted_revision_ = 0;
+    std::deque<base::address> document_holders_;
+    bool document_fetch_in_progress_ = false;
     bool vm_catch_up_in_progress_ = false;
     /// Number of watches of the VM list started so far; earlier ones end with their next answer.
     std::uint64_t vm_watch_generation_ = 0;
--- a/packages/daemon/src/state_synchronizer.cpp
+++ b/packages/daemon/src/state_synchronizer.cpp
@@ -30,6 +30,13 @@
 constexpr std::chrono::seconds max_backoff{2};
 constexpr std::chrono::seconds max_seed_retry_interval{10};
 constexpr std::chrono::seconds peer_timeout{2};
+/// Timeout of a request for a document to one of several daemons that have it, the pause after a failure and
+/// the number of requests for one document.
+constexpr std::chrono::milliseconds document_fetch_timeout{700};
+constexpr std::chrono::milliseconds document_fetch_pause{50};
+constexpr unsigned max_document_fetches = 20;
+/// Number of daemons remembered that have announced a newer document.
+constexpr std::size_t max_document_holders = 4;
 /// Interval of the check for expired VM list entries whose grace period has ended.
 constexpr std::chrono::milliseconds expiry_check_interval{250};
 /// Kind of the platform's objects whose names contain the peer addresses of daemons. They let a daemon find
@@ -91,21 +98,66 @@
     }
 }
 
-void state_synchronizer::start_fetch(const base::address& peer_address) {
-    if (fetch_in_progress_) {
+void state_synchronizer::catch_up_document(std::uint64_t revision, const base::address& peer_address) {
+    if (revision <= adoption_.revision()) {
         return;
     }
-    fetch_in_progress_ = true;
+    wanted_revision_ = std::max(wanted_revision_, revision);
+    document_holders_.push_back(peer_address);
+    if (document_holders_.size() > max_document_holders) {
+        document_holders_.pop_front();
+    }
+    if (document_fetch_in_progress_) {
+        return;
+    }
+    document_fetch_in_progress_ = true;
     const std::shared_ptr<state_synchronizer> self = shared_from_this();
     asio::co_spawn(
         strand_,
-        [self, peer_address]() -> asio::awaitable<void> {
-            co_await self->fetch_state_from(peer_address);
-            self->fetch_in_progress_ = false;
+        [self]() -> asio::awaitable<void> {
+            co_await self->fetch_wanted_document();
+            self->document_fetch_in_progress_ = false;
         },
         asio::detached);
 }
 
+asio::awaitable<void> state_synchronizer::fetch_wanted_document() {
+    for (unsigned tries = 0; tries < max_document_fetches && adoption_.revision() < wanted_revision_;
+         ++tries) {
+        std::optional<base::address> holder = choose_document_holder();
+        if (!holder) {
+            break;
+        }
+        co_await fetch_state_from(*holder, document_fetch_timeout);
+        if (adoption_.revision() < wanted_revision_) {
+            co_await sleep_for(document_fetch_pause);
+        }
+    }
+    if (adoption_.revision() < wanted_revision_) {
+        telemetry::log(telemetry::log_event::document_fetch_failed,
+                       {{"revision", std::to_string(adoption_.revision())},
+                        {"wanted_revision", std::to_string(wanted_revision_)}});
+    }
+}
+
+std::optional<base::address> state_synchronizer::choose_document_holder() {
+    if (!document_holders_.empty()) {
+        const base::address out = document_holders_.front();
+        document_holders_.pop_front();
+        return out;
+    }
+    std::vector<base::address> holders;
+    for (const peer::member_record& member : shared_.members.read()->members) {
+        if (member.status == peer::member_status::live && member.revision >= wanted_revision_) {
+            holders.push_back(member.peer_address);
+        }
+    }
+    if (holders.empty()) {
+        return std::nullopt;
+    }
+    return holders[random_.below(holders.size())];
+}
+
 void state_synchronizer::catch_up_vms(std::uint64_t change_version) {
     if (change_version <= directory_.version() || vm_catch_up_in_progress_ || platform_failing_) {
         return;
@@ -149,7 +201,7 @@
     const std::shared_ptr<const member_view> view = shared_.members.read();
     for (const peer::member_record& member : view->members) {
         const bool is_other = member.id != shared_.id && member.status == peer::member_status::live;
-        if (is_other && co_await fetch_state_from(member.peer_address)) {
+        if (is_other && co_await fetch_state_from(member.peer_address, peer_timeout)) {
             co_return true;
         }
     }
@@ -302,7 +354,7 @@
     while (!answered || !adoption_.current()) {
         for (const base::address& seed : shared_.settings.seed_peers) {
             const bool is_other = seed != shared_.settings.peer_address;
-            answered = (is_other && co_await fetch_state_from(seed)) || answered;
+            answered = (is_other && co_await fetch_state_from(seed, peer_timeout)) || answered;
         }
         if (shared_.settings.seed_peers.empty()) {
             co_return;
@@ -337,7 +389,7 @@
             for (const object_api::object_list::row& row : list->objects) {
                 const std::optional<base::address> other = parse_registry_name(row.name);
                 if (other && !is_member(*other)) {
-                    co_await fetch_state_from(*other);
+                    co_await fetch_state_from(*other, peer_timeout);
                 }
             }
         }
@@ -356,10 +408,10 @@
     });
 }
 
-asio::awaitable<bool> state_synchronizer::fetch_state_from(base::address peer_address) {
+asio::awaitable<bool> state_synchronizer::fetch_state_from(base::address peer_address,
+                                                           base::duration timeout) {
     const peer::frame request = peer::state_request{adoption_.revision()};
-    const base::result<peer::frame> answer =
-        co_await transport_.exchange(peer_address, request, peer_timeout);
+    const base::result<peer::frame> answer = co_await transport_.exchange(peer_address, request, timeout);
     const peer::state_reply* const reply = answer ? std::get_if<peer::state_reply>(&*answer) : nullptr;
     if (reply == nullptr) {
         co_return false;
--- a/packages/daemon/test/state_synchronizer_test.cpp
+++ b/packages/daemon/test/state_synchronizer_test.cpp
@@ -1,5 +1,6 @@
 #include "internal/clock.hpp"
 #include "internal/state_synchronizer.hpp"
+#include "test_cluster.hpp"
 
 #include <rattanbay/emulator.hpp>
 
@@ -10,6 +11,7 @@
 #include <boost/test/unit_test.hpp>
 #include <unistd.h>
 
+#include <stdexcept>
 #include <thread>
 
 namespace asio = boost::asio;
@@ -25,6 +27,8 @@
 
 /// Members known to each synchronizer, which determine how rarely it reads on its own.
 constexpr std::size_t cluster_size = 72;
+/// Shortest time after the acknowledgement of a document from which every daemon has to use it.
+constexpr std::chrono::seconds document_time{2};
 /// Shortest time after an outage from which a daemon has to keep the bounds on leaving endpoints.
 constexpr std::chrono::seconds settling_time{3};
 
@@ -63,6 +67,16 @@
         asio::post(strand_, [this, version]() { synchronizer_->catch_up_vms(version); });
     }
 
+    /// Reports that the daemon at this peer address has a document of this revision.
+    void report_revision(std::uint64_t revision, const base::address& at) {
+        asio::post(strand_, [this, revision, at]() { synchronizer_->catch_up_document(revision, at); });
+    }
+
+    std::uint64_t document_revision() const {
+        const std::shared_ptr<const internal::serving_state> serving = shared_.serving.read();
+        return serving->document ? serving->document->revision : 0;
+    }
+
     std::size_t listed_vms() const { return shared_.vms.read()->vms.size(); }
 
 private:
@@ -81,6 +95,39 @@
     std::shared_ptr<internal::state_synchronizer> synchronizer_;
 };
 
+/// Peer address of a daemon that has a document and answers requests for it.
+class peer_with_document {
+public:
+    peer_with_document(asio::io_context& context, const base::address& address, std::uint64_t revision)
+        : shared_(context, settings(address), base::incarnation(), daemon_ns::platform_protocols::emulated())
+        , transport_(std::make_shared<internal::peer_transport>(shared_, asio::make_strand(context))) {
+        const config::environment_document document =
+            config::environment_document::parse(test_cluster::document_text(revision)).value();
+        const std::string text = config::document_object::of(document).serialize();
+        const base::result<void> started = transport_->start(
+            [](const base::address&, const peer::datagram&) {},
+            [text](peer::frame, std::shared_ptr<internal::requester_link>) -> asio::awaitable<peer::frame> {
+                peer::state_reply reply;
+                reply.document = text;
+                co_return peer::frame(reply);
+            });
+        if (!started) {
+            throw std::runtime_error(started.error().message);
+        }
+    }
+
+private:
+    static config::settings settings(const base::address& address) {
+        config::settings out;
+        out.peer_address = address;
+        out.cluster_secret = "0123456789abcdef";
+        return out;
+    }
+
+    internal::shared_state shared_;
+    std::shared_ptr<internal::peer_transport> transport_;
+};
+
 /// An emulated platform and the synchronizers of several daemons, which do not know each other.
 struct fixture {
     fixture()
@@ -179,4 +226,18 @@
     BOOST_TEST(wait_for_all(drain_time, [](const lone_synchronizer& row) { return row.leaving_vms() == 1; }));
 }
 
+// A document that other daemons have must not be missed because the first of them gives no answer, while the
+// daemon's own watch is silent.
+BOOST_FIXTURE_TEST_CASE(a_document_is_fetched_from_another_daemon_when_the_first_one_is_silent, fixture) {
+    platform->set_fault({emulator::platform_fault_mode::down, {}});
+    asio::ip::tcp::acceptor silent(context, {asio::ip::make_address_v4(loopback(7001).ip), 7001});
+    const peer_with_document other(context, loopback(7002), 5);
+    for (const std::unique_ptr<lone_synchronizer>& row : synchronizers) {
+        row->report_revision(5, loopback(7001));
+        row->report_revision(5, loopback(7002));
+    }
+    BOOST_TEST(wait_for_all(document_time,
+                            [](const lone_synchronizer& row) { return row.document_revision() == 5U; }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/daemon/test/test_cluster.hpp
+++ b/packages/daemon/test/test_cluster.hpp
@@ -64,6 +64,27 @@
 
     rattanbay::daemon::daemon& daemon(std::size_t n) { return *daemons_[n]; }
 
+    /// Text of a document with the given revision.
+    static std::string document_text(std::uint64_t revision) {
+        nlohmann::json document = nlohmann::json::parse(R"({
+            "cost_weight": 0.3, "max_concurrent_requests": 256,
+            "services": {
+                "encoder": {"kind": "worker_pool", "expected_ms": 5, "concurrency": 8, "reports_load": false},
+                "order-desk": {"kind": "plain_service", "expected_ms": 10, "concurrency": 8, "reports_load": true},
+                "writer": {"kind": "model_engine", "expected_ms": 200, "concurrency": 8, "reports_load": true,
+                           "checks_fencing": true}},
+            "pipelines": {
+                "encode": {"deadline_ms": 8000, "stages": [{"name": "encode", "service": "encoder"}]},
+                "plan": {"deadline_ms": 8000, "stages": [{"name": "encode", "service": "encoder"},
+                         {"name": "rerank", "service": "encoder"}, {"name": "generate", "service": "writer"}]},
+                "book": {"deadline_ms": 4000, "stages": [{"name": "book", "service": "order-desk", "idempotent": false}]}},
+            "accounts": {
+                "planners": {"requests_per_second": 500, "burst": 500, "concurrency": 256, "priority": 0}}})");
+        document["revision"] = revision;
+        document["accounts"]["planners"]["token_sha256"] = rattanbay::base::sha256_hex("planner-token");
+        return document.dump();
+    }
+
     /// Writes a document with the given revision to the platform.
     void publish_document(std::uint64_t revision) {
         const rattanbay::config::environment_document document =
@@ -287,26 +308,6 @@
         set_vms();
     }
 
-    static std::string document_text(std::uint64_t revision) {
-        nlohmann::json document = nlohmann::json::parse(R"({
-            "cost_weight": 0.3, "max_concurrent_requests": 256,
-            "services": {
-                "encoder": {"kind": "worker_pool", "expected_ms": 5, "concurrency": 8, "reports_load": false},
-                "order-desk": {"kind": "plain_service", "expected_ms": 10, "concurrency": 8, "reports_load": true},
-                "writer": {"kind": "model_engine", "expected_ms": 200, "concurrency": 8, "reports_load": true,
-                           "checks_fencing": true}},
-            "pipelines": {
-                "encode": {"deadline_ms": 8000, "stages": [{"name": "encode", "service": "encoder"}]},
-                "plan": {"deadline_ms": 8000, "stages": [{"name": "encode", "service": "encoder"},
-                         {"name": "rerank", "service": "encoder"}, {"name": "generate", "service": "writer"}]},
-                "book": {"deadline_ms": 4000, "stages": [{"name": "book", "service": "order-desk", "idempotent": false}]}},
-            "accounts": {
-                "planners": {"requests_per_second": 500, "burst": 500, "concurrency": 256, "priority": 0}}})");
-        document["revision"] = revision;
-        document["accounts"]["planners"]["token_sha256"] = rattanbay::base::sha256_hex("planner-token");
-        return document.dump();
-    }
-
     boost::asio::io_context context_;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_guard_;
     std::vector<std::thread> threads_;
--- a/packages/telemetry/include/rattanbay/telemetry/log_event.hpp
+++ b/packages/telemetry/include/rattanbay/telemetry/log_event.hpp
@@ -23,6 +23,7 @@
     document_missing = 2003,
     isolated = 2004,
     isolation_ended = 2005,
+    document_fetch_failed = 2006,
     platform_failing = 3001,
     platform_recovered = 3002,
     vm_list_changed = 3003,
@@ -60,7 +61,7 @@
 };
 
 /// All log events, ordered by number.
-constexpr std::array<log_event_info, 39> log_events{{
+constexpr std::array<log_event_info, 40> log_events{{
     {log_event::daemon_started, log_level::info, "The daemon listens on all its addresses."},
     {log_event::daemon_draining, log_level::info, "A planned stop began; the daemon leaves the entry lists."},
     {log_event::daemon_stopped, log_level::info, "The planned stop ended; no request was left open."},
@@ -76,6 +77,8 @@
     {log_event::isolated, log_level::error,
      "Neither the platform nor a peer can be reached; requests are refused."},
     {log_event::isolation_ended, log_level::info, "The platform or a peer is reachable again."},
+    {log_event::document_fetch_failed, log_level::warning,
+     "No daemon gave a document that others have announced; the platform's watch has to bring it."},
     {log_event::platform_failing, log_level::warning,
      "Platform calls fail; the daemon goes on with what it has."},
     {log_event::platform_recovered, log_level::info, "Platform calls succeed again."},
@@ -133,7 +136,7 @@
 };
 
 template <> struct rattanbay::base::enum_names<rattanbay::telemetry::log_event> {
-    static constexpr std::array<enum_name<telemetry::log_event>, 39> table{{
+    static constexpr std::array<enum_name<telemetry::log_event>, 40> table{{
         {telemetry::log_event::daemon_started, "daemon_started"},
         {telemetry::log_event::daemon_draining, "daemon_draining"},
         {telemetry::log_event::daemon_stopped, "daemon_stopped"},
@@ -146,6 +149,7 @@
         {telemetry::log_event::document_missing, "document_missing"},
         {telemetry::log_event::isolated, "isolated"},
         {telemetry::log_event::isolation_ended, "isolation_ended"},
+        {telemetry::log_event::document_fetch_failed, "document_fetch_failed"},
         {telemetry::log_event::platform_failing, "platform_failing"},
         {telemetry::log_event::platform_recovered, "platform_recovered"},
         {telemetry::log_event::vm_list_changed, "vm_list_changed"},
