--- a/packages/daemon/src/state_synchronizer.cpp
+++ b/packages/daemon/src/state_synchronizer.cpp
@@ -147,7 +147,8 @@
         return out;
     }
     std::vector<base::address> holders;
-    for (const peer::member_record& member : shared_.members.read()->members) {
+    const std::shared_ptr<const member_view> view = shared_.members.read();
+    for (const peer::member_record& member : view->members) {
         if (member.status == peer::member_status::live && member.revision >= wanted_revision_) {
             holders.push_back(member.peer_address);
         }
