Log each state that is requested from another daemon

The logs did not tell why, as fetches were not logged. They now name the daemon, the bytes, the time and the error. No decision changes.

--- a/packages/daemon/src/state_synchronizer.cpp
+++ b/packages/daemon/src/state_synchronizer.cpp
@@ -414,9 +414,17 @@
 
 asio::awaitable<bool> state_synchronizer::fetch_state_from(base::address peer_address,
                                                            base::duration timeout) {
+    const base::time_point start = now();
     const peer::frame request = peer::state_request{adoption_.revision()};
     const base::result<peer::frame> answer = co_await transport_.exchange(peer_address, request, timeout);
     const peer::state_reply* const reply = answer ? std::get_if<peer::state_reply>(&*answer) : nullptr;
+    telemetry::log(telemetry::log_event::peer_state_fetched,
+                   {{"peer_address", peer_address.text()},
+                    {"revision", std::to_string(adoption_.revision())},
+                    {"wanted_revision", std::to_string(wanted_revision_)},
+                    {"document_bytes", std::to_string(reply == nullptr ? 0 : reply->document.size())},
+                    {"took_ms", std::to_string(base::to_milliseconds(now() - start))},
+                    {"detail", answer ? "" : answer.error().message}});
     if (reply == nullptr) {
         co_return false;
     }
