Compress the document between daemons

Cause: the document has 486 KB. While the platform's watches are silent, most daemons get it from one that has read it, and six or more ask the first ones at the same moment. Their links carry 10 Mbit/s: one transfer takes 0.4 s, six take 2.4 s, so all time out, at 2 s or 0.7 s, and are repeated; 237 of 337 requests for a state timed out. The revision was at the first daemon 0.3 s before its acknowledgement and at the last one 6 s later.

Change: a daemon that asks for a document says that it reads raw deflate, and gets 27.6 KB. The document is compressed once for each revision; it was serialized for each request before. Daemons of earlier versions get plain text.

The new test failed before with 451,094 bytes; it allows 100,000, which six daemons can get within half a second over 10 Mbit/s.

--- a/packages/daemon/src/internal/state_synchronizer.hpp
+++ b/packages/daemon/src/internal/state_synchronizer.hpp
@@ -45,7 +45,7 @@
 
     /// Builds the reply to another daemon's state request.
     peer::frame build_state_reply(const peer::state_request& request,
-                                  const std::vector<peer::member_record>& members) const;
+                                  const std::vector<peer::member_record>& members);
 
     /// Reads the current document from the platform or, failing that, from a peer; returns whether either
     /// replied.
@@ -81,6 +81,9 @@
     asio::awaitable<void> sleep_for(base::duration delay);
     void record_platform_result(bool usable);
     void offer_document(std::string_view value);
+    void offer_compressed_document(std::string_view bytes);
+    /// The document in force for other daemons; compressed once for each revision.
+    const std::string& compressed_document();
     void adopt(const std::shared_ptr<const config::environment_document>& document);
     asio::awaitable<void> remove_expired_vms();
     /// Whether the answer is a list or a page that is too old to be applied.
@@ -98,6 +101,8 @@
     config::document_adoption adoption_;
     base::random_source random_;
     std::uint64_t document_version_ = 0;
+    std::uint64_t compressed_revision_ = 0;
+    std::string compressed_document_;
     object_api::vm_directory directory_;
     base::time_point last_platform_answer_;
     bool platform_failing_ = false;
--- a/packages/daemon/src/state_synchronizer.cpp
+++ b/packages/daemon/src/state_synchronizer.cpp
@@ -1,8 +1,11 @@
 #include "internal/state_synchronizer.hpp"
 
 #include "internal/clock.hpp"
+#include "internal/compression.hpp"
 #include "internal/watch_failures.hpp"
 
+#include <rattanbay/peer/codec.hpp>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -182,9 +185,11 @@
 }
 
 peer::frame state_synchronizer::build_state_reply(const peer::state_request& request,
-                                                  const std::vector<peer::member_record>& members) const {
+                                                  const std::vector<peer::member_record>& members) {
     peer::state_reply reply;
-    if (adoption_.revision() > request.revision) {
+    if (adoption_.revision() > request.revision && request.accepts_compression) {
+        reply.compressed_document = compressed_document();
+    } else if (adoption_.revision() > request.revision) {
         reply.document = config::document_object::of(*adoption_.current()).serialize();
     }
     reply.vms = *shared_.vms.read();
@@ -195,6 +200,14 @@
     return reply;
 }
 
+const std::string& state_synchronizer::compressed_document() {
+    if (compressed_revision_ != adoption_.revision()) {
+        compressed_revision_ = adoption_.revision();
+        compressed_document_ = compress(config::document_object::of(*adoption_.current()).serialize());
+    }
+    return compressed_document_;
+}
+
 asio::awaitable<bool> state_synchronizer::verify() {
     const object_api::read_object request{config::document_object::key(shared_.settings.environment)};
     const object_api::answer answer = co_await call(request);
@@ -415,21 +428,25 @@
 asio::awaitable<bool> state_synchronizer::fetch_state_from(base::address peer_address,
                                                            base::duration timeout) {
     const base::time_point start = now();
-    const peer::frame request = peer::state_request{adoption_.revision()};
+    const peer::frame request = peer::state_request{adoption_.revision(), true};
     const base::result<peer::frame> answer = co_await transport_.exchange(peer_address, request, timeout);
     const peer::state_reply* const reply = answer ? std::get_if<peer::state_reply>(&*answer) : nullptr;
-    telemetry::log(telemetry::log_event::peer_state_fetched,
-                   {{"peer_address", peer_address.text()},
-                    {"revision", std::to_string(adoption_.revision())},
-                    {"wanted_revision", std::to_string(wanted_revision_)},
-                    {"document_bytes", std::to_string(reply == nullptr ? 0 : reply->document.size())},
-                    {"took_ms", std::to_string(base::to_milliseconds(now() - start))},
-                    {"detail", answer ? "" : answer.error().message}});
+    telemetry::log(
+        telemetry::log_event::peer_state_fetched,
+        {{"peer_address", peer_address.text()},
+         {"revision", std::to_string(adoption_.revision())},
+         {"wanted_revision", std::to_string(wanted_revision_)},
+         {"document_bytes",
+          std::to_string(reply == nullptr ? 0 : reply->document.size() + reply->compressed_document.size())},
+         {"took_ms", std::to_string(base::to_milliseconds(now() - start))},
+         {"detail", answer ? "" : answer.error().message}});
     if (reply == nullptr) {
         co_return false;
     }
     if (!reply->document.empty()) {
         offer_document(reply->document);
+    } else if (!reply->compressed_document.empty()) {
+        offer_compressed_document(reply->compressed_document);
     }
     apply_peer_vms(reply->vms);
     on_members_(reply->members);
@@ -503,6 +520,15 @@
     }
 }
 
+void state_synchronizer::offer_compressed_document(std::string_view bytes) {
+    const base::result<std::string> value = decompress(bytes, peer::max_frame_bytes);
+    if (value) {
+        offer_document(*value);
+    } else {
+        telemetry::log(telemetry::log_event::document_rejected, {{"reason", value.error().message}});
+    }
+}
+
 void state_synchronizer::adopt(const std::shared_ptr<const config::environment_document>& document) {
     const std::shared_ptr<const serving_state> previous = shared_.serving.read();
     const std::shared_ptr<serving_state> next = std::make_shared<serving_state>();
--- a/packages/daemon/test/state_synchronizer_test.cpp
+++ b/packages/daemon/test/state_synchronizer_test.cpp
@@ -3,6 +3,7 @@
 #include "test_cluster.hpp"
 
 #include <rattanbay/emulator.hpp>
+#include <rattanbay/peer.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/executor_work_guard.hpp>
@@ -11,6 +12,7 @@
 #include <boost/test/unit_test.hpp>
 #include <unistd.h>
 
+#include <future>
 #include <stdexcept>
 #include <thread>
 
@@ -77,6 +79,16 @@
         return serving->document ? serving->document->revision : 0;
     }
 
+    /// Bytes of the reply to another daemon that has no document.
+    std::size_t state_reply_bytes() {
+        std::promise<std::size_t> bytes;
+        asio::post(strand_, [this, &bytes]() {
+            const peer::frame reply = synchronizer_->build_state_reply(peer::state_request{0, true}, {});
+            bytes.set_value(peer::encode(reply, shared_.settings.cluster_secret).size());
+        });
+        return bytes.get_future().get();
+    }
+
     std::size_t listed_vms() const { return shared_.vms.read()->vms.size(); }
 
 private:
@@ -95,20 +107,32 @@
     std::shared_ptr<internal::state_synchronizer> synchronizer_;
 };
 
+/// Text of a document of more than 400 KB.
+std::string large_document_text(std::uint64_t revision) {
+    nlohmann::json document = nlohmann::json::parse(test_cluster::document_text(revision));
+    const nlohmann::json service = document["services"]["encoder"];
+    base::random_source random(1);
+    while (document.dump().size() < 400'000) {
+        for (int n = 0; n < 100; ++n) {
+            document["services"]["service-" + std::to_string(random.bits())] = service;
+        }
+    }
+    return document.dump();
+}
+
 /// Peer address of a daemon that has a document and answers requests for it.
 class peer_with_document {
 public:
-    peer_with_document(asio::io_context& context, const base::address& address, std::uint64_t revision)
+    peer_with_document(asio::io_context& context, const base::address& address, const std::string& text)
         : shared_(context, settings(address), base::incarnation(), daemon_ns::platform_protocols::emulated())
         , transport_(std::make_shared<internal::peer_transport>(shared_, asio::make_strand(context))) {
-        const config::environment_document document =
-            config::environment_document::parse(test_cluster::document_text(revision)).value();
-        const std::string text = config::document_object::of(document).serialize();
+        const config::environment_document document = config::environment_document::parse(text).value();
+        const std::string value = config::document_object::of(document).serialize();
         const base::result<void> started = transport_->start(
             [](const base::address&, const peer::datagram&) {},
-            [text](peer::frame, std::shared_ptr<internal::requester_link>) -> asio::awaitable<peer::frame> {
+            [value](peer::frame, std::shared_ptr<internal::requester_link>) -> asio::awaitable<peer::frame> {
                 peer::state_reply reply;
-                reply.document = text;
+                reply.document = value;
                 co_return peer::frame(reply);
             });
         if (!started) {
@@ -231,7 +255,7 @@
 BOOST_FIXTURE_TEST_CASE(a_document_is_fetched_from_another_daemon_when_the_first_one_is_silent, fixture) {
     platform->set_fault({emulator::platform_fault_mode::down, {}});
     asio::ip::tcp::acceptor silent(context, {asio::ip::make_address_v4(loopback(7001).ip), 7001});
-    const peer_with_document other(context, loopback(7002), 5);
+    const peer_with_document other(context, loopback(7002), test_cluster::document_text(5));
     for (const std::unique_ptr<lone_synchronizer>& row : synchronizers) {
         row->report_revision(5, loopback(7001));
         row->report_revision(5, loopback(7002));
@@ -240,4 +264,20 @@
                             [](const lone_synchronizer& row) { return row.document_revision() == 5U; }));
 }
 
+// A large document must reach all daemons in time although the links of some VMs are thin: six daemons that
+// ask one with 10 Mbit/s at once have to get it within half a second.
+BOOST_FIXTURE_TEST_CASE(a_large_document_is_small_between_daemons, fixture) {
+    constexpr std::size_t max_reply_bytes = 100'000;
+    platform->set_fault({emulator::platform_fault_mode::down, {}});
+    const peer_with_document other(context, loopback(7002), large_document_text(5));
+    synchronizers.front()->report_revision(5, loopback(7002));
+    const std::chrono::steady_clock::time_point end =
+        std::chrono::steady_clock::now() + std::chrono::seconds(5);
+    while (synchronizers.front()->document_revision() != 5U && std::chrono::steady_clock::now() < end) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    BOOST_REQUIRE(synchronizers.front()->document_revision() == 5U);
+    BOOST_TEST(synchronizers.front()->state_reply_bytes() <= max_reply_bytes);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/peer/include/rattanbay/peer/frame.hpp
+++ b/packages/peer/include/rattanbay/peer/frame.hpp
@@ -19,6 +19,8 @@
 struct state_request {
     /// Revision of the sender. The reply contains a document only if its revision is higher.
     std::uint64_t revision = 0;
+    /// Whether the sender reads `state_reply::compressed_document`.
+    bool accepts_compression = false;
 };
 
 /// Reply to a `state_request`.
@@ -29,6 +31,8 @@
     std::vector<member_record> members;
     /// Prompt parts whose requests are kept away from endpoints.
     std::vector<std::uint64_t> quarantined_parts = {};
+    /// Text of the document as a raw deflate stream, in place of `document`, if the requester accepts it.
+    std::string compressed_document = {};
 };
 
 /// Forwards a request with an idempotency key to the incarnation named by the key.
--- a/packages/peer/src/codec.cpp
+++ b/packages/peer/src/codec.cpp
@@ -44,11 +44,13 @@
 
     void operator()(const part_clearance& message) const { internal::pack_fields(out, message.parts); }
 
-    void operator()(const state_request& message) const { internal::pack_fields(out, message.revision); }
+    void operator()(const state_request& message) const {
+        internal::pack_fields(out, message.revision, message.accepts_compression);
+    }
 
     void operator()(const state_reply& message) const {
         internal::pack_fields(out, message.document, message.vms.version, message.vms.vms, message.members,
-                              message.quarantined_parts);
+                              message.quarantined_parts, message.compressed_document);
     }
 
     void operator()(const forward_request& message) const {
@@ -96,16 +98,16 @@
 
     void operator()(part_clearance& message) const { internal::unpack_fields(from, message.parts); }
 
-    void operator()(state_request& message) const { internal::unpack_fields(from, message.revision); }
+    void operator()(state_request& message) const {
+        internal::unpack_fields(from, message.revision);
+        internal::unpack_optional_field(from, 1, message.accepts_compression);
+    }
 
     void operator()(state_reply& message) const {
         internal::unpack_fields(from, message.document, message.vms.version, message.vms.vms,
                                 message.members);
-        // Daemons of earlier versions send no further field.
-        constexpr std::uint32_t quarantined_parts_index = 4;
-        if (from.via.array.size > quarantined_parts_index) {
-            internal::array_element(from, quarantined_parts_index).convert(message.quarantined_parts);
-        }
+        internal::unpack_optional_field(from, 4, message.quarantined_parts);
+        internal::unpack_optional_field(from, 5, message.compressed_document);
     }
 
     void operator()(forward_request& message) const {
--- a/packages/peer/src/internal/wire.hpp
+++ b/packages/peer/src/internal/wire.hpp
@@ -48,6 +48,14 @@
     (array_element(from, n++).convert(values), ...);
 }
 
+/// Unpacks element `n` of an array if it is there; daemons of earlier versions send fewer fields.
+template <class Value>
+void unpack_optional_field(const msgpack::object& from, std::uint32_t n, Value& value) {
+    if (from.type == msgpack::type::ARRAY && from.via.array.size > n) {
+        array_element(from, n).convert(value);
+    }
+}
+
 } // namespace rattanbay::peer::internal
 
 namespace msgpack {
@@ -134,11 +142,8 @@
                                 value.caller_address, value.sequence, status, value.draining, value.revision,
                                 value.load, value.ledger, value.ledger_window, value.ledger_recorded);
             value.status = wire::checked_enum_cast<rattanbay::peer::member_status>(status, 3);
-            // Daemons of earlier versions send no further field.
             constexpr std::uint32_t vm_list_change_index = 13;
-            if (from.via.array.size > vm_list_change_index) {
-                wire::array_element(from, vm_list_change_index).convert(value.vm_list_change);
-            }
+            wire::unpack_optional_field(from, vm_list_change_index, value.vm_list_change);
             return from;
         }
     };
--- a/packages/peer/test/codec_test.cpp
+++ b/packages/peer/test/codec_test.cpp
@@ -78,13 +78,15 @@
                                                    base::failure_domain("b"),
                                                    object_api::vm_state::leaving}}},
                                   {sample_record(4)},
-                                  {11, 12}};
+                                  {11, 12},
+                                  "deflated"};
     const base::result<peer::frame> copy =
         peer::decode_frame(peer::encode(peer::frame(state), secret).substr(4), secret);
     BOOST_REQUIRE(copy.has_value());
     BOOST_CHECK(std::get<peer::state_reply>(*copy).vms == state.vms);
     BOOST_CHECK(std::get<peer::state_reply>(*copy).members == state.members);
     BOOST_CHECK(std::get<peer::state_reply>(*copy).quarantined_parts == state.quarantined_parts);
+    BOOST_CHECK(std::get<peer::state_reply>(*copy).compressed_document == state.compressed_document);
 }
 
 // Guards against a probe that would be fragmented and therefore lost more often.
