Use a secure hash for prompt parts

Clients choose the identifiers of prompt parts. With a hash that is not safe against chosen inputs, one could have had another's part quarantined. Found when the quarantine was read again; no play or test showed it.

--- a/packages/relay/src/part_quarantine.cpp
+++ b/packages/relay/src/part_quarantine.cpp
@@ -22,7 +22,7 @@
 std::vector<part_key> shared_part_keys(const base::service_name& service, const prompt& prompt) {
     std::vector<part_key> out;
     for (std::size_t n = 0; n + 1 < prompt.parts.size(); ++n) {
-        out.push_back(base::fast_hash(service.text() + "/" + prompt.parts[n].id).low);
+        out.push_back(base::secure_hash(service.text() + "/" + prompt.parts[n].id).low);
     }
     return out;
 }
