Believe a refusal on a kept connection only if it names the request

Cause: an answer that says it was not run was taken for the answer to the request unless it named another one. One that names none passed, on any connection.

Change: such an answer counts only as the first one on its connection, where it can belong to no earlier request; on a kept connection the outcome is unknown.

--- a/packages/daemon/src/relay_run.cpp
+++ b/packages/daemon/src/relay_run.cpp
@@ -329,8 +329,7 @@
     if (header.load) {
         relay_.balancer.update_load(current.endpoint.id, *header.load, now());
     }
-    const bool belongs_to_other_request = header.request_id && *header.request_id != input_.request.id;
-    if (header.not_run && !belongs_to_other_request) {
+    if (relay::is_refusal_of(header, input_.request.id, !current.reused)) {
         current.detail = "status " + std::to_string(header.status);
         base::result<std::string> rest =
             co_await http::read_body(*current.connection, remaining_time(), max_response_bytes);
--- a/packages/relay/include/rattanbay/relay/attempt_rules.hpp
+++ b/packages/relay/include/rattanbay/relay/attempt_rules.hpp
@@ -32,6 +32,12 @@
 /// response was passed on to the client.
 bool may_resend(attempt_result result, config::retry_mode rule);
 
+/// Whether the header belongs to a refusal of request `id`, which was not and will not be run. A refusal that
+/// names no request counts only as the first response on its connection, because a faulty endpoint may repeat
+/// an earlier one.
+bool is_refusal_of(const endpoint_response_header& header, const base::request_id& id,
+                   bool is_first_on_connection);
+
 /// Whether the header belongs to a response to request `id` whose status, fields and body may be passed on to
 /// the client.
 bool is_response_to(const endpoint_response_header& header, const base::request_id& id);
--- a/packages/relay/src/attempt_rules.cpp
+++ b/packages/relay/src/attempt_rules.cpp
@@ -34,6 +34,11 @@
     return false;
 }
 
+bool is_refusal_of(const endpoint_response_header& header, const base::request_id& id,
+                   bool is_first_on_connection) {
+    return header.not_run && (header.request_id ? header.request_id == id : is_first_on_connection);
+}
+
 bool is_response_to(const endpoint_response_header& header, const base::request_id& id) {
     constexpr int first_success_status = 200;
     constexpr int first_redirect_status = 300;
--- a/packages/relay/test/rules_test.cpp
+++ b/packages/relay/test/rules_test.cpp
@@ -48,6 +48,20 @@
     BOOST_TEST(!relay::is_response_to(header, id));
 }
 
+// Guards against taking an earlier refusal that an endpoint repeats for one of this request.
+BOOST_AUTO_TEST_CASE(a_refusal_has_to_name_the_request_on_a_kept_connection) {
+    const base::request_id id("9c41");
+    relay::endpoint_response_header header;
+    header.status = 503;
+    header.not_run = true;
+    BOOST_TEST(relay::is_refusal_of(header, id, true));
+    BOOST_TEST(!relay::is_refusal_of(header, id, false));
+    header.request_id = id;
+    BOOST_TEST(relay::is_refusal_of(header, id, false));
+    header.request_id = base::request_id("9c42");
+    BOOST_TEST(!relay::is_refusal_of(header, id, true));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(resend_budget)
