Do not wait for the body of a refusal

Callers waited up to their deadline when a replica refused a request and did not send the body it had announced: the body was read for all the time that the request had left, and no other replica was tried.

Change: the body gets 50 ms; then the connection is closed and the next replica is tried.

--- a/packages/daemon/src/relay_run.cpp
+++ b/packages/daemon/src/relay_run.cpp
@@ -26,6 +26,8 @@
 constexpr int silence_timeout_gaps = 4;
 /// Assumed response time while none has been measured.
 constexpr std::chrono::milliseconds default_response_time{300};
+/// Time to read the body of a refusal, without which its connection cannot be used again.
+constexpr std::chrono::milliseconds max_refusal_body_time{50};
 constexpr std::size_t max_response_bytes = 64 * 1024 * 1024;
 constexpr int min_server_error_status = 500;
 constexpr int min_redirection_status = 300;
@@ -331,8 +333,9 @@
     }
     if (relay::is_refusal_of(header, input_.request.id, !current.reused)) {
         current.detail = "status " + std::to_string(header.status);
-        base::result<std::string> rest =
-            co_await http::read_body(*current.connection, remaining_time(), max_response_bytes);
+        const base::duration limit = std::min<base::duration>(max_refusal_body_time, remaining_time());
+        const base::result<std::string> rest =
+            co_await http::read_body(*current.connection, limit, max_response_bytes);
         current.detail += rest ? "" : ", " + rest.error().message;
         co_return relay::attempt_result::declined;
     }
