Follow what endpoints say about further requests

An endpoint that leaves says so in all its answers with Server-Leaving; it got requests until the VM list told, which a daemon that the store turns away does not learn. An endpoint that refuses with 503 may say with Retry-After how long it wants nothing from this daemon; it was asked again at once.

Change: the adapter reads both fields of every answer: of requests, streams and piece calls. The balancer and the piece scheduler keep such endpoints out, also when there is no other. If all endpoints of a service are paused, Retry-After to the client is at least the time until the first one returns. An endpoint that the list shows as leaving and later as live gets work again.

--- a/packages/daemon/src/internal/relay_state.hpp
+++ b/packages/daemon/src/internal/relay_state.hpp
@@ -31,6 +31,11 @@
     /// Publishes the serving state of a document with a relay section; called on the control strand.
     void adopt(const std::shared_ptr<const config::environment_document>& document);
 
+    /// Records what an endpoint's response says about further requests: none as it is leaving, or none for a
+    /// while.
+    void record_endpoint_wishes(const base::endpoint_id& endpoint,
+                                const relay::endpoint_response_header& header);
+
     const config::relay_settings settings;
     const std::shared_ptr<const relay::protocol> protocol;
     /// Empty until the first document is adopted.
--- a/packages/daemon/src/piece_pool.cpp
+++ b/packages/daemon/src/piece_pool.cpp
@@ -178,7 +178,7 @@
     limits.response_header = queues_[service].call_timeout;
     http::request message = relay_.protocol->write_piece_request(orders, batch.endpoint.id);
     const http::send_condition is_available = [this, endpoint = batch.endpoint.id]() {
-        return relay_.balancer.is_available(endpoint);
+        return relay_.balancer.is_available(endpoint, now());
     };
     const base::result<http::response> response = co_await http::exchange(
         strand_, relay_.pool, batch.endpoint.address, std::move(message), limits, is_available);
@@ -225,6 +225,10 @@
     const relay::endpoint_response_header header =
         relay_.protocol->read_response(http::response_header{response->status, response->fields});
     detail = "status " + std::to_string(response->status);
+    relay_.record_endpoint_wishes(batch.endpoint.id, header);
+    if (header.retry_after) {
+        queues_[service].scheduler.pause(batch.endpoint.id, now() + *header.retry_after);
+    }
     if (header.not_run) {
         return relay::attempt_result::declined;
     }
--- a/packages/daemon/src/relay_run.cpp
+++ b/packages/daemon/src/relay_run.cpp
@@ -269,7 +269,7 @@
     }
     // The endpoint or the client may have gone away while the connection was being opened.
     if (client_disconnected_ || remaining_time() == base::duration::zero() ||
-        !relay_.balancer.is_available(current.endpoint.id)) {
+        !relay_.balancer.is_available(current.endpoint.id, now())) {
         current.detail = "the endpoint became unavailable, the client disconnected or the deadline passed "
                          "before the request was sent";
         co_return client_disconnected_ ? relay::attempt_result::abandoned : relay::attempt_result::not_sent;
@@ -331,6 +331,7 @@
     if (header.load) {
         relay_.balancer.update_load(current.endpoint.id, *header.load, now());
     }
+    relay_.record_endpoint_wishes(current.endpoint.id, header);
     if (relay::is_refusal_of(header, input_.request.id, !current.reused)) {
         current.detail = "status " + std::to_string(header.status);
         const base::duration limit = std::min<base::duration>(max_refusal_body_time, remaining_time());
@@ -505,7 +506,9 @@
     log_result(base::to_name(kind));
     std::optional<base::duration> retry_after;
     if (outcome == base::outcome::not_run) {
-        retry_after = admission_.refusal_delay ? *admission_.refusal_delay : retry_delay();
+        const base::duration wait =
+            relay_.balancer.time_to_resume(service_, now()).value_or(base::duration::zero());
+        retry_after = std::max(wait, admission_.refusal_delay ? *admission_.refusal_delay : retry_delay());
     }
     const base::problem problem{kind, outcome, std::move(detail), std::nullopt};
     http::response response = relay_.protocol->write_problem(problem, retry_after);
--- a/packages/daemon/src/relay_state.cpp
+++ b/packages/daemon/src/relay_state.cpp
@@ -1,5 +1,9 @@
 #include "internal/relay_state.hpp"
 
+#include "internal/clock.hpp"
+
+#include <rattanbay/telemetry.hpp>
+
 namespace rattanbay::daemon::internal {
 
 const config::relay_service* relay_serving_state::find(const base::service_name& service) const {
@@ -35,4 +39,17 @@
     }
 }
 
+void relay_state::record_endpoint_wishes(const base::endpoint_id& endpoint,
+                                         const relay::endpoint_response_header& header) {
+    if (header.is_leaving && balancer.mark_leaving(endpoint)) {
+        telemetry::log(telemetry::log_event::endpoint_leaving, {{"endpoint", endpoint.text()}});
+    }
+    if (header.retry_after) {
+        balancer.pause(endpoint, now() + *header.retry_after);
+        telemetry::log(telemetry::log_event::endpoint_paused,
+                       {{"endpoint", endpoint.text()},
+                        {"ms", std::to_string(base::to_milliseconds(*header.retry_after))}});
+    }
+}
+
 } // namespace rattanbay::daemon::internal
--- a/packages/relay/include/rattanbay/relay/balancer.hpp
+++ b/packages/relay/include/rattanbay/relay/balancer.hpp
@@ -68,8 +68,20 @@
     /// Records the load that the endpoint reported.
     void update_load(const base::endpoint_id& endpoint, const endpoint_load& load, base::time_point now);
 
+    /// Records that the endpoint said in an answer that it is leaving; it gets no more requests. Returns
+    /// whether this was not known.
+    bool mark_leaving(const base::endpoint_id& endpoint);
+
+    /// Records that the endpoint wants no requests until a time.
+    void pause(const base::endpoint_id& endpoint, base::time_point until);
+
+    /// Time until the first endpoint of the service wants requests again; nothing if one does now or none is
+    /// listed.
+    std::optional<base::duration> time_to_resume(const base::service_name& service,
+                                                 base::time_point now) const;
+
     /// Whether the endpoint is listed and accepts work.
-    bool is_available(const base::endpoint_id& endpoint) const;
+    bool is_available(const base::endpoint_id& endpoint, base::time_point now) const;
 
     /// Failure domain of the endpoint at an address; empty if none is listed there.
     base::failure_domain failure_domain_at(const base::address& address) const;
@@ -77,7 +89,7 @@
     /// Endpoints of the service that accept work.
     std::vector<pool_endpoint> available_endpoints(const base::service_name& service) const;
 
-    /// Number of calls of `update` so far.
+    /// Number of changes of the endpoints that accept work so far.
     std::uint64_t generation() const;
 
     /// Estimated time to the response or first event of a call to the service; empty until a call has been
@@ -97,6 +109,9 @@
         double call_ms = 0;
         std::uint32_t consecutive_failures = 0;
         base::time_point ejected_until;
+        /// Whether the endpoint said in an answer that it is leaving.
+        bool is_leaving = false;
+        base::time_point paused_until;
     };
 
     struct candidate {
@@ -106,6 +121,7 @@
 
     std::vector<candidate> candidates(const endpoint_query& query, base::time_point now,
                                       bool include_ejected) const;
+    static bool accepts_work(const endpoint_state& state);
     double median_call_ms(const std::vector<base::endpoint_id>& ids) const;
     double cost(const endpoint_state& state, const base::failure_domain& preferred_domain, double median_ms,
                 base::time_point now) const;
--- a/packages/relay/include/rattanbay/relay/messages.hpp
+++ b/packages/relay/include/rattanbay/relay/messages.hpp
@@ -90,6 +90,10 @@
     bool is_event_stream = false;
     /// Whether the body has a content encoding, which the client did not ask for.
     bool has_content_encoding = false;
+    /// Whether the endpoint is leaving and wants no further requests.
+    bool is_leaving = false;
+    /// Time for which the endpoint, which is overloaded, wants no requests from this daemon.
+    std::optional<base::duration> retry_after;
     /// Load of the endpoint, if it reports it.
     std::optional<endpoint_load> load;
     /// Header fields to pass on to the client.
--- a/packages/relay/include/rattanbay/relay/piece_scheduler.hpp
+++ b/packages/relay/include/rattanbay/relay/piece_scheduler.hpp
@@ -98,6 +98,9 @@
     /// Records that the endpoint reported a lack of space for a result.
     void mark_full(const base::endpoint_id& endpoint, base::time_point now);
 
+    /// Records that the endpoint wants no calls until a time.
+    void pause(const base::endpoint_id& endpoint, base::time_point until);
+
     /// Records that a result is no longer needed and its space is free.
     void release_result(const std::string& handle);
 
@@ -120,6 +123,7 @@
         std::uint32_t consecutive_declines = 0;
         base::time_point ejected_until;
         base::time_point full_until;
+        base::time_point paused_until;
     };
 
     struct result_state {
--- a/packages/relay/src/balancer.cpp
+++ b/packages/relay/src/balancer.cpp
@@ -60,6 +60,9 @@
         const auto it = endpoints_.find(id);
         const bool same = it != endpoints_.end() && it->second.vm.address == vm.address;
         endpoint_state state = same ? it->second : endpoint_state{};
+        const bool returns =
+            state.vm.state == object_api::vm_state::leaving && vm.state == object_api::vm_state::live;
+        state.is_leaving = state.is_leaving && !returns;
         state.vm = vm;
         if (next.emplace(id, std::move(state)).second) {
             by_service_[vm.service].push_back(id);
@@ -112,11 +115,11 @@
     const double median_ms = median_call_ms(it->second);
     for (const base::endpoint_id& id : it->second) {
         const endpoint_state& state = endpoints_.at(id);
-        const bool is_live = state.vm.state == object_api::vm_state::live;
+        const bool wants_work = accepts_work(state) && state.paused_until <= now;
         const bool tried = std::ranges::find(query.excluded, id) != query.excluded.end();
         const bool full = query.max_running > 0 && state.running >= query.max_running;
         const bool ejected = now < state.ejected_until;
-        if (is_live && !tried && !full && (include_ejected || !ejected)) {
+        if (wants_work && !tried && !full && (include_ejected || !ejected)) {
             out.push_back(candidate{&state, cost(state, preferred_domain, median_ms, now)});
         }
     }
@@ -212,10 +215,49 @@
     }
 }
 
-bool balancer::is_available(const base::endpoint_id& endpoint) const {
+bool balancer::accepts_work(const endpoint_state& state) {
+    return state.vm.state == object_api::vm_state::live && !state.is_leaving;
+}
+
+bool balancer::mark_leaving(const base::endpoint_id& endpoint) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const auto it = endpoints_.find(endpoint);
+    if (it == endpoints_.end() || it->second.is_leaving) {
+        return false;
+    }
+    it->second.is_leaving = true;
+    ++generation_;
+    return true;
+}
+
+void balancer::pause(const base::endpoint_id& endpoint, base::time_point until) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const auto it = endpoints_.find(endpoint);
+    if (it != endpoints_.end()) {
+        it->second.paused_until = std::max(it->second.paused_until, until);
+    }
+}
+
+std::optional<base::duration> balancer::time_to_resume(const base::service_name& service,
+                                                       base::time_point now) const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const auto it = by_service_.find(service);
+    std::optional<base::duration> out;
+    for (const base::endpoint_id& id :
+         it == by_service_.end() ? std::vector<base::endpoint_id>() : it->second) {
+        const endpoint_state& state = endpoints_.at(id);
+        if (accepts_work(state)) {
+            const base::duration left = state.paused_until - now;
+            out = out ? std::min(*out, left) : left;
+        }
+    }
+    return out && *out > base::duration::zero() ? out : std::nullopt;
+}
+
+bool balancer::is_available(const base::endpoint_id& endpoint, base::time_point now) const {
     const std::lock_guard<std::mutex> lock(mutex_);
     const auto it = endpoints_.find(endpoint);
-    return it != endpoints_.end() && it->second.vm.state == object_api::vm_state::live;
+    return it != endpoints_.end() && accepts_work(it->second) && it->second.paused_until <= now;
 }
 
 base::failure_domain balancer::failure_domain_at(const base::address& address) const {
@@ -230,9 +272,9 @@
     std::vector<pool_endpoint> out;
     if (it != by_service_.end()) {
         for (const base::endpoint_id& id : it->second) {
-            const object_api::vm& vm = endpoints_.at(id).vm;
-            if (vm.state == object_api::vm_state::live) {
-                out.push_back(pool_endpoint{id, vm.address, vm.failure_domain});
+            const endpoint_state& state = endpoints_.at(id);
+            if (accepts_work(state)) {
+                out.push_back(pool_endpoint{id, state.vm.address, state.vm.failure_domain});
             }
         }
     }
--- a/packages/relay/src/piece_scheduler.cpp
+++ b/packages/relay/src/piece_scheduler.cpp
@@ -246,7 +246,8 @@
     std::vector<endpoint_state*> free_endpoints;
     for (auto& entry : endpoints_) {
         endpoint_state& state = entry.second;
-        if (free_slots(state) > 0 && state.ejected_until <= now && state.full_until <= now) {
+        if (free_slots(state) > 0 && state.ejected_until <= now && state.full_until <= now &&
+            state.paused_until <= now) {
             free_endpoints.push_back(&state);
         }
     }
@@ -302,6 +303,13 @@
     }
 }
 
+void piece_scheduler::pause(const base::endpoint_id& endpoint, base::time_point until) {
+    const auto it = endpoints_.find(endpoint);
+    if (it != endpoints_.end()) {
+        it->second.paused_until = std::max(it->second.paused_until, until);
+    }
+}
+
 void piece_scheduler::release_result(const std::string& handle) {
     const auto it = results_.find(handle);
     if (it == results_.end()) {
--- a/packages/relay/test/balancer_test.cpp
+++ b/packages/relay/test/balancer_test.cpp
@@ -35,6 +35,48 @@
 
 BOOST_AUTO_TEST_SUITE(balancer)
 
+// Guards against requests for an endpoint that said in an answer that it is leaving, before the VM list
+// tells.
+BOOST_FIXTURE_TEST_CASE(an_endpoint_that_says_it_is_leaving_gets_no_work, three_endpoint_fixture) {
+    const std::uint64_t generation = balancer.generation();
+    BOOST_TEST(balancer.mark_leaving(base::endpoint_id("e1")));
+    BOOST_TEST(!balancer.mark_leaving(base::endpoint_id("e1")));
+    BOOST_TEST(balancer.generation() != generation);
+    BOOST_TEST(balancer.available_endpoints(query.service).size() == 2U);
+    list.version = 2;
+    balancer.update(list);
+    for (int n = 0; n < 20; ++n) {
+        BOOST_TEST(choose() != "e1");
+    }
+    BOOST_TEST(!balancer.is_available(base::endpoint_id("e1"), at_ms(0)));
+}
+
+// Guards against an endpoint that gets no work for ever, after it returned under its former name and address.
+BOOST_FIXTURE_TEST_CASE(an_endpoint_that_returns_gets_work, three_endpoint_fixture) {
+    balancer.mark_leaving(base::endpoint_id("e1"));
+    list.vms[0].state = object_api::vm_state::leaving;
+    balancer.update(list);
+    list.vms[0].state = object_api::vm_state::live;
+    balancer.update(list);
+    BOOST_TEST(balancer.is_available(base::endpoint_id("e1"), at_ms(0)));
+}
+
+// Guards against requests for an overloaded endpoint before the time that it gave, also when there is no
+// other.
+BOOST_FIXTURE_TEST_CASE(a_paused_endpoint_gets_no_work_until_its_time, three_endpoint_fixture) {
+    BOOST_TEST(!balancer.time_to_resume(query.service, at_ms(0)).has_value());
+    for (const char* const id : {"e1", "e2", "e3"}) {
+        balancer.pause(base::endpoint_id(id), at_ms(1500));
+    }
+    balancer.pause(base::endpoint_id("e2"), at_ms(1000));
+    balancer.pause(base::endpoint_id("e1"), at_ms(2000));
+    BOOST_TEST(choose().empty());
+    BOOST_CHECK(balancer.time_to_resume(query.service, at_ms(0)) == base::from_milliseconds(1500));
+    BOOST_TEST(!balancer.is_available(base::endpoint_id("e2"), at_ms(1499)));
+    BOOST_TEST(balancer.is_available(base::endpoint_id("e2"), at_ms(1500)));
+    BOOST_TEST(!balancer.is_available(base::endpoint_id("e1"), at_ms(1500)));
+}
+
 // Guards against sending work to an endpoint that is leaving or is no longer listed.
 BOOST_FIXTURE_TEST_CASE(leaving_endpoints_get_no_work, three_endpoint_fixture) {
     list.vms[0].state = object_api::vm_state::leaving;
@@ -43,8 +85,8 @@
     for (int n = 0; n < 20; ++n) {
         BOOST_TEST(choose() == "e2");
     }
-    BOOST_TEST(!balancer.is_available(base::endpoint_id("e1")));
-    BOOST_TEST(!balancer.is_available(base::endpoint_id("e3")));
+    BOOST_TEST(!balancer.is_available(base::endpoint_id("e1"), at_ms(0)));
+    BOOST_TEST(!balancer.is_available(base::endpoint_id("e3"), at_ms(0)));
 }
 
 // Guards against traffic between failure domains while an endpoint in the daemon's own domain is free.
--- a/packages/relay/test/piece_scheduler_test.cpp
+++ b/packages/relay/test/piece_scheduler_test.cpp
@@ -305,4 +305,13 @@
                boost::test_tools::per_element());
 }
 
+// Guards against calls to an overloaded endpoint before the time that it gave.
+BOOST_FIXTURE_TEST_CASE(a_paused_endpoint_gets_no_calls_until_its_time, scheduler_fixture) {
+    scheduler.configure(limits, {endpoint("p1", "a", 1)});
+    BOOST_TEST(add(stage(1, 1000)));
+    scheduler.pause(base::endpoint_id("p1"), at_ms(1500));
+    BOOST_TEST(!scheduler.next_batch(at_ms(1499)).has_value());
+    BOOST_TEST(scheduler.next_batch(at_ms(1500)).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/telemetry/include/rattanbay/telemetry/log_event.hpp
+++ b/packages/telemetry/include/rattanbay/telemetry/log_event.hpp
@@ -55,6 +55,7 @@
     part_quarantined = 7005,
     part_cleared = 7006,
     part_report_dropped = 7007,
+    endpoint_paused = 7008,
     lines_dropped = 8001,
 };
 
@@ -66,7 +67,7 @@
 };
 
 /// All log events, ordered by number.
-constexpr std::array<log_event_info, 45> log_events{{
+constexpr std::array<log_event_info, 46> log_events{{
     {log_event::daemon_started, log_level::info, "The daemon listens on all its addresses."},
     {log_event::daemon_draining, log_level::info, "A planned stop began; the daemon leaves the entry lists."},
     {log_event::daemon_stopped, log_level::info, "The planned stop ended; no request was left open."},
@@ -135,6 +136,7 @@
      "An endpoint answered a request with a suspected part of a prompt."},
     {log_event::part_report_dropped, log_level::warning,
      "A report about parts of prompts was not sent because of their rate."},
+    {log_event::endpoint_paused, log_level::info, "An endpoint wants no requests for a while."},
     {log_event::lines_dropped, log_level::warning,
      "Log lines were dropped as they could not be written in time."},
 }};
@@ -151,7 +153,7 @@
 };
 
 template <> struct rattanbay::base::enum_names<rattanbay::telemetry::log_event> {
-    static constexpr std::array<enum_name<telemetry::log_event>, 45> table{{
+    static constexpr std::array<enum_name<telemetry::log_event>, 46> table{{
         {telemetry::log_event::daemon_started, "daemon_started"},
         {telemetry::log_event::daemon_draining, "daemon_draining"},
         {telemetry::log_event::daemon_stopped, "daemon_stopped"},
@@ -196,6 +198,7 @@
         {telemetry::log_event::part_quarantined, "part_quarantined"},
         {telemetry::log_event::part_cleared, "part_cleared"},
         {telemetry::log_event::part_report_dropped, "part_report_dropped"},
+        {telemetry::log_event::endpoint_paused, "endpoint_paused"},
         {telemetry::log_event::lines_dropped, "lines_dropped"},
     }};
 };
