--- a/packages/daemon/src/piece_router.cpp
+++ b/packages/daemon/src/piece_router.cpp
@@ -63,7 +63,7 @@
 
 std::shared_ptr<exchange_handle> piece_router::submit(stage_request request, stage_handler on_done) {
     const std::shared_ptr<piece_router> self = shared_from_this();
-    const std::shared_ptr<exchange_handle> ticket = std::make_shared<exchange_handle>();
+    std::shared_ptr<exchange_handle> ticket = std::make_shared<exchange_handle>();
     asio::co_spawn(
         strand_,
         [self, request = std::move(request), on_done = std::move(on_done), ticket]() {
--- a/packages/daemon/test/compression_test.cpp
+++ b/packages/daemon/test/compression_test.cpp
@@ -25,7 +25,9 @@
 
 // Guards against a short message that takes all memory.
 BOOST_AUTO_TEST_CASE(large_malformed_and_truncated_data_is_rejected) {
-    const std::string bomb = internal::compress(std::string(10'000'000, ' '));
+    std::string spaces;
+    spaces.resize(10'000'000, ' ');
+    const std::string bomb = internal::compress(spaces);
     BOOST_TEST(bomb.size() < 100'000U);
     BOOST_CHECK(internal::decompress(bomb, 1'000'000).error().code == base::error_code::protocol_violation);
     BOOST_TEST(!internal::decompress(bomb.substr(0, bomb.size() / 2), 20'000'000).has_value());
