Forget a delivered stage's requester

Reading the change again: the watch of a connection could outlive the stage that it was for. If the requester closed the kept connection later, the results of the delivered stage would have been released while in use. No play or test showed it; the link now ends with the delivery.

--- a/packages/daemon/src/peer_transport.cpp
+++ b/packages/daemon/src/peer_transport.cpp
@@ -203,7 +203,7 @@
                                                      peer::frame message) {
     const std::shared_ptr<peer_transport> self = shared_from_this();
     const peer::frame ack = peer::accepted{};
-    // A requester that has given up has closed the connection; its message is dropped unread.
+    // A requester that has given up has closed the connection; its message is dropped without an answer.
     if (is_closed(stream->socket()) || !co_await write_frame(stream, remote, ack, write_timeout)) {
         co_return false;
     }
@@ -217,6 +217,8 @@
         link->notify_lost();
         co_return false;
     }
+    // The requester has the results now; the watch may still be pending.
+    link->on_lost = nullptr;
     co_return true;
 }
 
