--- a/packages/daemon/src/input_stages.cpp
+++ b/packages/daemon/src/input_stages.cpp
@@ -124,27 +124,13 @@
     }
     request.preferred_domain = preferred_domain_for(request.order);
     request.target_start = plan_.target_start - state.estimate.loaded.total();
-    request.latest_start =
-        std::min(plan_.latest_start - state.estimate.unloaded.total(), inputs_expiry(settings));
+    request.latest_start = plan_.latest_start - state.estimate.unloaded.total();
     const std::shared_ptr<input_stages> self = shared_from_this();
     state.ticket = router_->submit(std::move(request), [self, stage](const stage_result& result) {
         asio::post(self->executor_, [self, stage, result]() { self->handle_result(stage, result); });
     });
 }
 
-base::time_point input_stages::inputs_expiry(const config::relay_stage& stage) const {
-    base::time_point out = base::time_point::max();
-    for (const std::size_t needed : stage.depends_on) {
-        const config::relay_service* const service = plan_.serving->find(plan_.route->stages[needed].service);
-        const bool has_expiry = service != nullptr && service->pieces &&
-                                service->pieces->result_lifetime > base::duration::zero();
-        if (has_expiry && stages_[needed].end_time) {
-            out = std::min(out, *stages_[needed].end_time + service->pieces->result_lifetime);
-        }
-    }
-    return out;
-}
-
 base::failure_domain input_stages::preferred_domain_for(const relay::stage_order& order) const {
     // Each piece fetches all inputs, while its result is fetched once.
     if (order.input_bytes <= order.result_bytes) {
--- a/packages/daemon/src/internal/input_stages.hpp
+++ b/packages/daemon/src/internal/input_stages.hpp
@@ -70,8 +70,6 @@
     /// Whether a stage with complete inputs has to start now in order not to delay the concurrent stages.
     bool should_start(std::size_t stage) const;
     bool has_dependents(std::size_t stage) const;
-    /// Time from which the inputs of a stage may have been dropped by the endpoints that hold them.
-    base::time_point inputs_expiry(const config::relay_stage& stage) const;
     base::failure_domain preferred_domain_for(const relay::stage_order& order) const;
     bool is_complete() const;
     void handle_result(std::size_t stage, const stage_result& result);
