Tell rejected documents and held threads apart

The logs could not separate a document that was rejected from one that took long to read or did not arrive, and no metric or operator's command showed either.

document_adopted and document_rejected name the source, the size, the time and the first finding. event_loop_delayed and rattanbay_loop_delay_seconds show a control thread that was held for more than 100 ms. rattanbay_document_revision and rattanbay_highest_document_revision, and highest_revision in the status, show a daemon that stays behind.

telemetry_tests, ctl_tests and the suites path and state_synchronizer of daemon_tests pass.

--- a/packages/daemon/src/control.cpp
+++ b/packages/daemon/src/control.cpp
@@ -18,6 +18,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds supervision_interval{250};
+/// Delay of the supervision timer from which it is logged.
+constexpr std::chrono::milliseconds logged_loop_delay{100};
 /// Delay of the supervision timer above which the process is considered to have been paused.
 constexpr std::chrono::seconds pause_threshold{2};
 /// Time without contact to the platform or a peer after which the document may be out of date.
@@ -228,6 +230,13 @@
         boost::system::error_code ec;
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
         const base::time_point time = now();
+        const base::duration delay = time - last_check - supervision_interval;
+        shared_.metrics.record_loop_delay(std::max(delay, base::duration::zero()));
+        if (delay > logged_loop_delay) {
+            telemetry::log(telemetry::log_event::event_loop_delayed,
+                           {{"ms", std::to_string(base::to_milliseconds(delay))},
+                            {"requests", std::to_string(shared_.requests_in_progress.load())}});
+        }
         if (time - last_check > pause_threshold) {
             shared_.verifying.store(true);
             telemetry::log(telemetry::log_event::pause_detected,
@@ -241,6 +250,7 @@
         }
         check_isolation();
         update_account_limits();
+        state_->publish_revisions();
         const std::uint32_t load = shared_.requests_in_progress.load();
         const std::uint64_t vm_list_change = state_->newest_vm_change();
         members_->update_self([load, vm_list_change](peer::member_record& own) {
--- a/packages/daemon/src/internal/shared_state.hpp
+++ b/packages/daemon/src/internal/shared_state.hpp
@@ -75,6 +75,9 @@
     std::unique_ptr<relay_state> relay;
     std::atomic<std::uint64_t> request_counter{0};
     std::atomic<std::uint32_t> requests_in_progress{0};
+    /// Highest revision of a document that was offered or announced. Above the revision in force while a
+    /// document is being fetched, or for good if it was rejected.
+    std::atomic<std::uint64_t> highest_revision{0};
     std::atomic<bool> draining{false};
     /// Whether neither the platform nor a peer was reachable for longer than the isolation timeout.
     std::atomic<bool> isolated{false};
--- a/packages/daemon/src/internal/state_synchronizer.hpp
+++ b/packages/daemon/src/internal/state_synchronizer.hpp
@@ -51,6 +51,9 @@
     /// replied.
     asio::awaitable<bool> verify();
 
+    /// Publishes the revision in force and the highest one seen as metrics and for operators.
+    void publish_revisions();
+
     /// Time of the last usable answer of the platform, or the start time if there was none.
     base::time_point last_platform_answer() const { return last_platform_answer_; }
 
@@ -80,11 +83,13 @@
                                    const object_api::answer& answer);
     asio::awaitable<void> sleep_for(base::duration delay);
     void record_platform_result(bool usable);
-    void offer_document(std::string_view value);
+    /// Offers a document; `source` names where it was read, for the log.
+    void offer_document(std::string_view value, std::string_view source);
     void offer_compressed_document(std::string_view bytes);
     /// The document in force for other daemons; compressed once for each revision.
     const std::string& compressed_document();
     void adopt(const std::shared_ptr<const config::environment_document>& document);
+    void reject(const config::document_rejected& rejected, std::string_view source);
     asio::awaitable<void> remove_expired_vms();
     /// Whether the answer is a list or a page that is too old to be applied.
     bool is_stale_list(const object_api::answer& answer) const;
@@ -108,6 +113,8 @@
     bool platform_failing_ = false;
     /// Timers of the calls in `back_off`.
     std::set<asio::steady_timer*> delayed_calls_;
+    /// Highest revision that was offered.
+    std::uint64_t offered_revision_ = 0;
     /// Highest revision that another daemon has announced, and the daemons that announced it last.
     std::uint64_t wanted_revision_ = 0;
     std::deque<base::address> document_holders_;
--- a/packages/daemon/src/operator_handler.cpp
+++ b/packages/daemon/src/operator_handler.cpp
@@ -93,6 +93,7 @@
     body["environment"] = shared_.settings.environment;
     body["failure_domain"] = shared_.settings.failure_domain.text();
     body["revision"] = serving->document ? serving->document->revision : 0;
+    body["highest_revision"] = shared_.highest_revision.load();
     body["sha256"] = serving->document ? serving->document->sha256 : "";
     body["ready"] = !shared_.refusal_reason().has_value();
     body["reason"] = shared_.refusal_reason().value_or("");
--- a/packages/daemon/src/state_synchronizer.cpp
+++ b/packages/daemon/src/state_synchronizer.cpp
@@ -212,7 +212,7 @@
     const object_api::read_object request{config::document_object::key(shared_.settings.environment)};
     const object_api::answer answer = co_await call(request);
     if (const object_api::object* object = std::get_if<object_api::object>(&answer)) {
-        offer_document(object->value);
+        offer_document(object->value, "read");
         co_return true;
     }
     const std::shared_ptr<const member_view> view = shared_.members.read();
@@ -233,7 +233,7 @@
         const object_api::answer answer = co_await call(request);
         if (const object_api::object* object = std::get_if<object_api::object>(&answer)) {
             document_version_ = std::max(document_version_, object->version);
-            offer_document(object->value);
+            offer_document(object->value, "watch");
         } else if (const object_api::unchanged* unchanged = std::get_if<object_api::unchanged>(&answer)) {
             document_version_ = std::max(document_version_, unchanged->version);
         } else if (std::holds_alternative<object_api::history_lost>(answer)) {
@@ -268,7 +268,7 @@
         const object_api::answer answer = co_await call(request);
         if (const object_api::object* object = std::get_if<object_api::object>(&answer)) {
             const std::uint64_t store_version = object->store_version;
-            offer_document(object->value);
+            offer_document(object->value, "read");
             co_await read_missed_vms(store_version);
         }
     }
@@ -444,7 +444,7 @@
         co_return false;
     }
     if (!reply->document.empty()) {
-        offer_document(reply->document);
+        offer_document(reply->document, "peer");
     } else if (!reply->compressed_document.empty()) {
         offer_compressed_document(reply->compressed_document);
     }
@@ -507,23 +507,53 @@
     }
 }
 
-void state_synchronizer::offer_document(std::string_view value) {
+void state_synchronizer::offer_document(std::string_view value, std::string_view source) {
+    const base::time_point start = now();
     const config::adoption_result result = adoption_.offer_serialized(value);
     if (const config::document_adopted* adopted = std::get_if<config::document_adopted>(&result)) {
         adopt(adopted->document);
-        return;
+        shared_.metrics.record_document("adopted");
+        telemetry::log(telemetry::log_event::document_adopted,
+                       {{"revision", std::to_string(adopted->document->revision)},
+                        {"sha256", adopted->document->sha256},
+                        {"source", std::string(source)},
+                        {"bytes", std::to_string(value.size())},
+                        {"took_ms", std::to_string(base::to_milliseconds(now() - start))}});
+    } else if (const config::document_rejected* rejected = std::get_if<config::document_rejected>(&result)) {
+        reject(*rejected, source);
+    } else {
+        shared_.metrics.record_document("ignored");
     }
-    const config::document_rejected* const rejected = std::get_if<config::document_rejected>(&result);
-    if (rejected != nullptr && !rejected->repeated) {
-        telemetry::log(telemetry::log_event::document_rejected,
-                       {{"revision", std::to_string(rejected->revision)}, {"reason", rejected->reason}});
+    publish_revisions();
+}
+
+void state_synchronizer::reject(const config::document_rejected& rejected, std::string_view source) {
+    offered_revision_ = std::max(offered_revision_, rejected.revision);
+    shared_.metrics.record_document("rejected");
+    if (rejected.repeated) {
+        return;
     }
+    const std::string finding = rejected.findings.empty() ? ""
+                                                          : rejected.findings.front().pointer + ": " +
+                                                                rejected.findings.front().message;
+    telemetry::log(telemetry::log_event::document_rejected,
+                   {{"revision", std::to_string(rejected.revision)},
+                    {"revision_in_force", std::to_string(adoption_.revision())},
+                    {"source", std::string(source)},
+                    {"reason", rejected.reason},
+                    {"finding", finding}});
+}
+
+void state_synchronizer::publish_revisions() {
+    const std::uint64_t highest = std::max({adoption_.revision(), wanted_revision_, offered_revision_});
+    shared_.metrics.set_document_revisions(adoption_.revision(), highest);
+    shared_.highest_revision.store(highest);
 }
 
 void state_synchronizer::offer_compressed_document(std::string_view bytes) {
     const base::result<std::string> value = decompress(bytes, peer::max_frame_bytes);
     if (value) {
-        offer_document(*value);
+        offer_document(*value, "peer");
     } else {
         telemetry::log(telemetry::log_event::document_rejected, {{"reason", value.error().message}});
     }
@@ -545,10 +575,8 @@
     }
     publisher_.publish_endpoints();
     on_revision_(document->revision);
-    const std::string revision = std::to_string(document->revision);
-    telemetry::log(telemetry::log_event::document_adopted,
-                   {{"revision", revision}, {"sha256", document->sha256}});
-    shared_.record({}, telemetry::timeline_event::document_adopted, {{"revision", revision}});
+    shared_.record({}, telemetry::timeline_event::document_adopted,
+                   {{"revision", std::to_string(document->revision)}});
 }
 
 void state_synchronizer::apply_peer_vms(const object_api::vm_list& list) {
--- a/packages/telemetry/include/rattanbay/telemetry/log_event.hpp
+++ b/packages/telemetry/include/rattanbay/telemetry/log_event.hpp
@@ -18,6 +18,7 @@
     listen_failed = 1005,
     pause_detected = 1006,
     settings_changed = 1007,
+    event_loop_delayed = 1008,
     document_adopted = 2001,
     document_rejected = 2002,
     document_missing = 2003,
@@ -67,7 +68,7 @@
 };
 
 /// All log events, ordered by number.
-constexpr std::array<log_event_info, 46> log_events{{
+constexpr std::array<log_event_info, 47> log_events{{
     {log_event::daemon_started, log_level::info, "The daemon listens on all its addresses."},
     {log_event::daemon_draining, log_level::info, "A planned stop began; the daemon leaves the entry lists."},
     {log_event::daemon_stopped, log_level::info, "The planned stop ended; no request was left open."},
@@ -76,6 +77,8 @@
     {log_event::pause_detected, log_level::warning,
      "The process did not run for a while; it verifies its document."},
     {log_event::settings_changed, log_level::info, "The settings file was read again after SIGHUP."},
+    {log_event::event_loop_delayed, log_level::warning,
+     "The control thread was held by other work or got no processor time."},
     {log_event::document_adopted, log_level::info, "A document with a higher revision is in force."},
     {log_event::document_rejected, log_level::error,
      "A document was offered that fails its checks or its hash."},
@@ -153,7 +156,7 @@
 };
 
 template <> struct rattanbay::base::enum_names<rattanbay::telemetry::log_event> {
-    static constexpr std::array<enum_name<telemetry::log_event>, 46> table{{
+    static constexpr std::array<enum_name<telemetry::log_event>, 47> table{{
         {telemetry::log_event::daemon_started, "daemon_started"},
         {telemetry::log_event::daemon_draining, "daemon_draining"},
         {telemetry::log_event::daemon_stopped, "daemon_stopped"},
@@ -161,6 +164,7 @@
         {telemetry::log_event::listen_failed, "listen_failed"},
         {telemetry::log_event::pause_detected, "pause_detected"},
         {telemetry::log_event::settings_changed, "settings_changed"},
+        {telemetry::log_event::event_loop_delayed, "event_loop_delayed"},
         {telemetry::log_event::document_adopted, "document_adopted"},
         {telemetry::log_event::document_rejected, "document_rejected"},
         {telemetry::log_event::document_missing, "document_missing"},
--- a/packages/telemetry/include/rattanbay/telemetry/metrics.hpp
+++ b/packages/telemetry/include/rattanbay/telemetry/metrics.hpp
@@ -43,6 +43,15 @@
     /// 1970.
     void set_vm_list_confirmed(std::uint64_t version, std::int64_t wall_us);
 
+    /// Counts an offered document by its result: "adopted", "ignored" or "rejected".
+    void record_document(std::string_view result);
+
+    /// Records the revision in force and the highest revision that was offered or announced.
+    void set_document_revisions(std::uint64_t in_force, std::uint64_t highest_seen);
+
+    /// Records by how much a periodic task of the control thread was late.
+    void record_loop_delay(base::duration delay);
+
     /// Counts a finished call to a worker pool by the result of the attempt.
     void record_piece_call(const base::service_name& service, std::string_view result);
 
--- a/packages/telemetry/src/metrics.cpp
+++ b/packages/telemetry/src/metrics.cpp
@@ -85,6 +85,27 @@
             .Name("rattanbay_waiting_pieces")
             .Help("Pieces that wait at the scheduler of a worker pool")
             .Register(registry);
+    prometheus::Family<prometheus::Counter>& documents = prometheus::BuildCounter()
+                                                             .Name("rattanbay_documents_total")
+                                                             .Help("Offered documents by result")
+                                                             .Register(registry);
+    prometheus::Gauge& document_revision = prometheus::BuildGauge()
+                                               .Name("rattanbay_document_revision")
+                                               .Help("Revision of the document in force")
+                                               .Register(registry)
+                                               .Add({});
+    prometheus::Gauge& highest_document_revision =
+        prometheus::BuildGauge()
+            .Name("rattanbay_highest_document_revision")
+            .Help("Highest revision of a document that was offered or announced")
+            .Register(registry)
+            .Add({});
+    prometheus::Histogram& loop_delay_seconds =
+        prometheus::BuildHistogram()
+            .Name("rattanbay_loop_delay_seconds")
+            .Help("Time by which a periodic task of the control thread was late")
+            .Register(registry)
+            .Add({}, latency_buckets());
     prometheus::Gauge& vm_list_version = prometheus::BuildGauge()
                                              .Name("rattanbay_vm_list_version")
                                              .Help("Version of the VM list that the platform confirmed last")
@@ -140,6 +161,19 @@
     state_->vm_list_confirmed.Set(static_cast<double>(wall_us) / microseconds_per_second);
 }
 
+void metrics::record_document(std::string_view result) {
+    state_->documents.Add({{"result", std::string(result)}}).Increment();
+}
+
+void metrics::set_document_revisions(std::uint64_t in_force, std::uint64_t highest_seen) {
+    state_->document_revision.Set(static_cast<double>(in_force));
+    state_->highest_document_revision.Set(static_cast<double>(highest_seen));
+}
+
+void metrics::record_loop_delay(base::duration delay) {
+    state_->loop_delay_seconds.Observe(to_seconds(delay));
+}
+
 void metrics::record_piece_call(const base::service_name& service, std::string_view result) {
     state_->piece_calls.Add({{"service", service.text()}, {"result", std::string(result)}}).Increment();
 }
