Read documents of any size that the platform holds

Callers saw old routes, dropped keys and unknown routes for good (CONFIG, DENIED): after a configuration of about 3,000 routes no daemon took it or any later one.

Cause: environment_document::parse checked the size of its text, as a JSON string, against the 1 MB that the platform allows for values that daemons and operators write. On the users' platform this text is the translation of a configuration that the store already holds, and twice as long. The limit of one form was applied to another.

The check moves to parse_for_publication, which rattanbayctl uses before it writes.

--- a/packages/config/include/rattanbay/config/environment_document.hpp
+++ b/packages/config/include/rattanbay/config/environment_document.hpp
@@ -88,10 +88,13 @@
     /// accounts.
     std::optional<relay_document> relay;
 
-    /// Parses and validates the text of a document (JSON with comments). The text must also fit into one
-    /// platform object.
+    /// Parses and validates the text of a document (JSON with comments). Its size is not limited: what a
+    /// platform holds has to be readable, whatever its form.
     static validation_result<environment_document> parse(std::string text);
 
+    /// Like `parse`, for a text that will be published: it must also fit into one platform object.
+    static validation_result<environment_document> parse_for_publication(std::string text);
+
     /// Returns the account whose token has this SHA-256, or null. Requires that `account_ids_by_token` covers
     /// all `accounts`.
     const account* find_account_by_token(std::string_view token_sha256) const;
--- a/packages/config/src/environment_document.cpp
+++ b/packages/config/src/environment_document.cpp
@@ -246,19 +246,12 @@
     std::vector<finding>& findings_;
 };
 
-/// Checks that the text, encoded as a JSON string, fits into one platform object.
-void check_size(const std::string& text, std::vector<finding>& findings) {
-    std::string quoted_text;
+/// Size of the text as a JSON string; nothing if it is not UTF-8.
+std::optional<std::size_t> quoted_size(const std::string& text) {
     try {
-        quoted_text = json(text).dump();
+        return json(text).dump().size();
     } catch (const json::exception&) {
-        findings.push_back({"", "the text must be UTF-8, including comments"});
-        return;
-    }
-    if (quoted_text.size() > max_quoted_text_bytes) {
-        findings.push_back({"", "the text takes " + std::to_string(quoted_text.size()) +
-                                    " bytes as a JSON string; at most " +
-                                    std::to_string(max_quoted_text_bytes) + " fit into one object"});
+        return std::nullopt;
     }
 }
 
@@ -276,7 +269,9 @@
     }
     environment_document out;
     document_reader(out, findings).read(parsed.value);
-    check_size(text, findings);
+    if (!quoted_size(text)) {
+        findings.push_back({"", "the text must be UTF-8, including comments"});
+    }
     if (!findings.empty()) {
         return tl::unexpected(std::move(findings));
     }
@@ -285,6 +280,18 @@
     return out;
 }
 
+validation_result<environment_document> environment_document::parse_for_publication(std::string text) {
+    const std::size_t size = quoted_size(text).value_or(0);
+    validation_result<environment_document> out = parse(std::move(text));
+    if (size > max_quoted_text_bytes) {
+        std::vector<finding> findings = out ? std::vector<finding>() : std::move(out.error());
+        findings.push_back({"", "the text takes " + std::to_string(size) + " bytes as a JSON string; at most " +
+                                    std::to_string(max_quoted_text_bytes) + " fit into one object"});
+        return tl::unexpected(std::move(findings));
+    }
+    return out;
+}
+
 const account* environment_document::find_account_by_token(std::string_view token_sha256) const {
     assert(account_ids_by_token.size() == accounts.size());
     const auto it = account_ids_by_token.find(token_sha256);
--- a/packages/ctl/src/checking.cpp
+++ b/packages/ctl/src/checking.cpp
@@ -48,7 +48,7 @@
     }
     // This parser also reports text that is not a JSON object.
     config::validation_result<config::environment_document> parsed =
-        config::environment_document::parse(text);
+        config::environment_document::parse_for_publication(text);
     if (!parsed) {
         out.findings = std::move(parsed.error());
         return out;
--- a/packages/ctl/src/document_commands.cpp
+++ b/packages/ctl/src/document_commands.cpp
@@ -40,7 +40,7 @@
 /// Parses a document file and returns the report of `action`, or the findings if the document is invalid.
 template <class Action> report with_document(command_io& io, const std::string& path, Action action) {
     const config::validation_result<config::environment_document> document =
-        config::environment_document::parse(read_file(io, path));
+        config::environment_document::parse_for_publication(read_file(io, path));
     if (document) {
         return action(*document);
     }
--- a/packages/ctl/src/emulate_commands.cpp
+++ b/packages/ctl/src/emulate_commands.cpp
@@ -84,7 +84,7 @@
                                              line.parser());
     return line.run([&]() {
         const config::validation_result<config::environment_document> document =
-            config::environment_document::parse(read_file(call.io, environment.getValue()));
+            config::environment_document::parse_for_publication(read_file(call.io, environment.getValue()));
         if (!document) {
             throw usage_error{environment.getValue() + " has errors; run rattanbayctl check to list them"};
         }
