Check that the client is there right before a send

Cause: a thread that was held reads the request after it goes on, and routes and sends it in the same turn. The close stands unread in the client's socket until the next turn. A paused VM or a burst does the same.

http::responder::is_disconnected peeks at the socket. relay_run asks before it starts stages and before each send, whatever held the thread.

--- a/packages/daemon/src/internal/relay_run.hpp
+++ b/packages/daemon/src/internal/relay_run.hpp
@@ -48,6 +48,8 @@
         bool reused = false;
     };
 
+    /// Whether the client has closed its connection, also if that was not processed yet.
+    bool has_client_left(http::responder& out);
     void handle_disconnect();
     /// Whether a part of the prompt is quarantined, so that the request may not be sent (again).
     bool is_quarantined();
--- a/packages/daemon/src/relay_run.cpp
+++ b/packages/daemon/src/relay_run.cpp
@@ -69,7 +69,9 @@
     if (budget != input_.serving->resend_budgets.end()) {
         budget->second->count_request(now());
     }
-    if (is_quarantined()) {
+    if (has_client_left(out)) {
+        log_result("abandoned");
+    } else if (is_quarantined()) {
         co_await send_failure(out);
     } else if (co_await prepare_inputs(out)) {
         co_await make_attempts(out);
@@ -96,6 +98,14 @@
     });
 }
 
+bool relay_run::has_client_left(http::responder& out) {
+    // The close may stand unread in the socket if the thread was held since it arrived.
+    if (!client_disconnected_ && out.is_disconnected()) {
+        handle_disconnect();
+    }
+    return client_disconnected_;
+}
+
 void relay_run::handle_disconnect() {
     client_disconnected_ = true;
     if (active_connection_ != nullptr) {
@@ -268,7 +278,7 @@
         co_return client_disconnected_ ? relay::attempt_result::abandoned : relay::attempt_result::not_sent;
     }
     // The endpoint or the client may have gone away while the connection was being opened.
-    if (client_disconnected_ || remaining_time() == base::duration::zero() ||
+    if (has_client_left(out) || remaining_time() == base::duration::zero() ||
         !relay_.balancer.is_available(current.endpoint.id, now())) {
         current.detail = "the endpoint became unavailable, the client disconnected or the deadline passed "
                          "before the request was sent";
--- a/packages/http/include/rattanbay/http/server.hpp
+++ b/packages/http/include/rattanbay/http/server.hpp
@@ -70,6 +70,10 @@
     /// returns.
     virtual void on_disconnect(std::function<void()> callback) = 0;
 
+    /// Whether the client has closed its connection. Unlike `on_disconnect`, this also finds a close that
+    /// arrived while the thread did other work. A close behind a pipelined request is not found.
+    virtual bool is_disconnected() = 0;
+
     /// Closes the connection after this response. Must be called before the response is sent.
     virtual void close_after_response() = 0;
 };
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -1,4 +1,5 @@
 #include "internal/disconnect_monitor.hpp"
+#include "internal/peer_close.hpp"
 #include "internal/read_timeout.hpp"
 
 #include <rattanbay/base/snapshot.hpp>
@@ -74,6 +75,8 @@
         disconnect_monitor_->start(std::move(callback));
     }
 
+    bool is_disconnected() override { return internal::is_closed_by_peer(stream_.socket()); }
+
     void close_after_response() override { keep_alive_ = false; }
 
     /// Stops the monitoring that `on_disconnect` started.
