Count a repeated report of a crash once

After a crash within 0.5 s of another one the second copy counted as a further crash, so some daemons refused a prompt part before three endpoints had crashed and others 9.6 s after them.

A report now carries an identifier, and daemons remember the last 256. Reports of daemons of the earlier version have none and count as before. Sending to all members moves from quarantine_exchange to peer_broadcaster.

Why one daemon that had copies of all reports was late as well is not explained.

--- a/packages/daemon/src/control.cpp
+++ b/packages/daemon/src/control.cpp
@@ -101,7 +101,9 @@
     if (shared_.relay) {
         piece_pool_ = std::make_shared<piece_pool>(*shared_.relay, shared_.metrics, strand_);
         piece_router_ = std::make_shared<piece_router>(shared_, *piece_pool_, *transport_, strand_);
-        quarantine_exchange_ = std::make_shared<quarantine_exchange>(shared_, transport_, strand_);
+        const std::shared_ptr<peer_broadcaster> broadcaster =
+            std::make_shared<peer_broadcaster>(shared_, transport_, strand_);
+        quarantine_exchange_ = std::make_shared<quarantine_exchange>(shared_, broadcaster, strand_);
     }
     ledger_ = std::make_shared<ledger_driver>(
         shared, strand, platform_, *transport_, [this](const ledger::key_prefix& prefix) {
@@ -163,14 +165,16 @@
 }
 
 void control_plane::handle_datagram(const base::address& from, peer::datagram message) {
-    const peer::crash_report* const report = std::get_if<peer::crash_report>(&message);
-    const peer::part_clearance* const clearance = std::get_if<peer::part_clearance>(&message);
-    if (report == nullptr && clearance == nullptr) {
+    if (const peer::crash_report* report = std::get_if<peer::crash_report>(&message)) {
+        if (quarantine_exchange_) {
+            quarantine_exchange_->receive(*report);
+        }
+    } else if (const peer::part_clearance* clearance = std::get_if<peer::part_clearance>(&message)) {
+        if (quarantine_exchange_) {
+            quarantine_exchange_->receive(*clearance);
+        }
+    } else {
         members_->receive(from, std::move(message));
-    } else if (quarantine_exchange_ && report != nullptr) {
-        quarantine_exchange_->receive(*report);
-    } else if (quarantine_exchange_) {
-        quarantine_exchange_->receive(*clearance);
     }
 }
 
--- a/packages/daemon/src/internal/quarantine_exchange.hpp
+++ b/packages/daemon/src/internal/quarantine_exchange.hpp
@@ -1,9 +1,10 @@
 #pragma once
 
-#include "peer_transport.hpp"
+#include "peer_broadcaster.hpp"
 #include "shared_state.hpp"
 
 #include <cstdint>
+#include <deque>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -23,7 +24,7 @@
 /// from any thread.
 class quarantine_exchange : public std::enable_shared_from_this<quarantine_exchange> {
 public:
-    quarantine_exchange(shared_state& shared, std::shared_ptr<peer_transport> transport,
+    quarantine_exchange(shared_state& shared, std::shared_ptr<peer_broadcaster> broadcaster,
                         control_strand strand);
 
     /// Checks whether an endpoint has crashed after its connection broke before it had begun to answer a
@@ -48,16 +49,13 @@
     asio::awaitable<void> report_if_crashed(relay::chosen_endpoint endpoint, base::request_id request,
                                             std::vector<relay::part_key> parts);
     void record_crash(const base::endpoint_id& endpoint, const std::vector<relay::part_key>& parts);
-    /// Sends a message to all live members, and once more later because datagrams may be lost.
-    asio::awaitable<void> broadcast(peer::datagram message);
-    void send_to_members(const peer::datagram& message);
-    bool try_take_broadcast();
 
     shared_state& shared_;
-    std::shared_ptr<peer_transport> transport_;
+    std::shared_ptr<peer_broadcaster> broadcaster_;
     control_strand strand_;
-    base::time_point broadcast_window_start_;
-    std::size_t broadcasts_in_window_ = 0;
+    base::random_source random_;
+    /// Identifiers of the reports of other daemons received last.
+    std::deque<std::uint64_t> reports_;
 };
 
 } // namespace rattanbay::daemon::internal
--- a/packages/daemon/src/quarantine_exchange.cpp
+++ b/packages/daemon/src/quarantine_exchange.cpp
@@ -21,14 +21,11 @@
 /// Interval between the two connections that show that an endpoint has not crashed. The first one may still
 /// reach a process that is ending.
 constexpr std::chrono::milliseconds recheck_delay{100};
-constexpr std::chrono::milliseconds repeat_delay{200};
 /// Minimum time after which a client is told to retry a request that was refused.
 constexpr std::chrono::seconds min_retry_delay{1};
-/// Maximum number of parts in a report and of broadcasts in a second; limits the traffic while many endpoints
-/// crash.
 constexpr std::size_t max_reported_parts = 16;
-constexpr std::size_t max_broadcasts_per_window = 20;
-constexpr std::chrono::seconds broadcast_window{1};
+/// Number of reports that are remembered, to recognise their repetitions.
+constexpr std::size_t max_remembered_reports = 256;
 
 std::string to_text(const std::vector<relay::part_key>& parts) {
     std::string out;
@@ -40,11 +37,12 @@
 
 } // namespace
 
-quarantine_exchange::quarantine_exchange(shared_state& shared, std::shared_ptr<peer_transport> transport,
+quarantine_exchange::quarantine_exchange(shared_state& shared, std::shared_ptr<peer_broadcaster> broadcaster,
                                          control_strand strand)
     : shared_(shared)
-    , transport_(std::move(transport))
-    , strand_(strand) {}
+    , broadcaster_(std::move(broadcaster))
+    , strand_(strand)
+    , random_(shared.next_seed()) {}
 
 void quarantine_exchange::check_endpoint(const relay::chosen_endpoint& endpoint,
                                          const base::request_id& request,
@@ -84,8 +82,7 @@
                                                             {"address", endpoint.address.text()},
                                                             {"parts", to_text(parts)}});
     record_crash(endpoint.id, parts);
-    peer::datagram message = peer::crash_report{endpoint.id, parts};
-    co_await broadcast(std::move(message));
+    broadcaster_->send(peer::crash_report{endpoint.id, parts, random_.bits()});
 }
 
 void quarantine_exchange::record_crash(const base::endpoint_id& endpoint,
@@ -103,10 +100,7 @@
         return;
     }
     telemetry::log(telemetry::log_event::part_cleared, {{"parts", to_text(cleared)}, {"source", "answer"}});
-    const std::shared_ptr<quarantine_exchange> self = shared_from_this();
-    const peer::datagram message = peer::part_clearance{cleared};
-    asio::co_spawn(
-        strand_, [self, message]() { return self->broadcast(message); }, asio::detached);
+    broadcaster_->send(peer::part_clearance{cleared});
 }
 
 part_admission quarantine_exchange::admit(const std::vector<relay::part_key>& parts) {
@@ -129,6 +123,14 @@
 }
 
 void quarantine_exchange::receive(const peer::crash_report& message) {
+    const bool is_repeated = message.id != 0 && std::ranges::find(reports_, message.id) != reports_.end();
+    if (is_repeated) {
+        return;
+    }
+    reports_.push_back(message.id);
+    if (reports_.size() > max_remembered_reports) {
+        reports_.pop_front();
+    }
     record_crash(message.endpoint, message.parts);
 }
 
@@ -139,36 +141,4 @@
     }
 }
 
-bool quarantine_exchange::try_take_broadcast() {
-    const base::time_point current_time = now();
-    if (current_time - broadcast_window_start_ >= broadcast_window) {
-        broadcast_window_start_ = current_time;
-        broadcasts_in_window_ = 0;
-    }
-    return ++broadcasts_in_window_ <= max_broadcasts_per_window;
-}
-
-asio::awaitable<void> quarantine_exchange::broadcast(peer::datagram message) {
-    const std::shared_ptr<quarantine_exchange> self = shared_from_this();
-    if (!try_take_broadcast()) {
-        telemetry::log(telemetry::log_event::part_report_dropped,
-                       {{"in_window", std::to_string(broadcasts_in_window_)}});
-        co_return;
-    }
-    send_to_members(message);
-    asio::steady_timer timer(strand_, repeat_delay);
-    boost::system::error_code ignored;
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-    send_to_members(message);
-}
-
-void quarantine_exchange::send_to_members(const peer::datagram& message) {
-    const std::shared_ptr<const member_view> view = shared_.members.read();
-    for (const peer::member_record& member : view->members) {
-        if (member.id != shared_.id && member.status != peer::member_status::gone) {
-            transport_->send(member.peer_address, message);
-        }
-    }
-}
-
 } // namespace rattanbay::daemon::internal
--- a/packages/peer/include/rattanbay/peer/datagram.hpp
+++ b/packages/peer/include/rattanbay/peer/datagram.hpp
@@ -36,6 +36,9 @@
 struct crash_report {
     base::endpoint_id endpoint;
     std::vector<std::uint64_t> parts;
+    /// Differs between crashes, so that the repetition of a report is recognised. 0 if the sender is of a
+    /// version that sends none.
+    std::uint64_t id = 0;
 };
 
 /// Reports that an endpoint has begun to answer a request with these prompt parts, which were suspects.
--- a/packages/peer/src/codec.cpp
+++ b/packages/peer/src/codec.cpp
@@ -39,7 +39,7 @@
     }
 
     void operator()(const crash_report& message) const {
-        internal::pack_fields(out, message.endpoint, message.parts);
+        internal::pack_fields(out, message.endpoint, message.parts, message.id);
     }
 
     void operator()(const part_clearance& message) const { internal::pack_fields(out, message.parts); }
@@ -94,6 +94,7 @@
 
     void operator()(crash_report& message) const {
         internal::unpack_fields(from, message.endpoint, message.parts);
+        internal::unpack_optional_field(from, 2, message.id);
     }
 
     void operator()(part_clearance& message) const { internal::unpack_fields(from, message.parts); }
--- a/packages/peer/test/codec_test.cpp
+++ b/packages/peer/test/codec_test.cpp
@@ -114,6 +114,15 @@
     BOOST_TEST(!peer::decode_datagram(frame.substr(4), secret).has_value());
 }
 
+// Guards against reports whose repetition cannot be recognised.
+BOOST_AUTO_TEST_CASE(reports_of_crashes_survive_the_wire) {
+    const peer::crash_report crash{base::endpoint_id("e1"), {1, 2}, 77};
+    const base::result<peer::datagram> first =
+        peer::decode_datagram(peer::encode(peer::datagram(crash), secret), secret);
+    BOOST_REQUIRE(first.has_value());
+    BOOST_TEST(std::get<peer::crash_report>(*first).id == 77U);
+}
+
 // Guards against a field of the messages about pieces being lost or swapped during encoding.
 BOOST_AUTO_TEST_CASE(messages_about_pieces_survive_the_wire) {
     peer::make_pieces sent;
