Keep the limits that endpoints name for all daemons together

Daemons tell each other about limits, changes and ends. A few daemons for each endpoint, L + 2 for a limit of L, share it evenly; all daemons derive them from the member list, without messages for a request. The others use other endpoints, and what no endpoint takes now is refused at once. The one daemon that makes all calls to a pool spaces them by the whole limit.

--- a/packages/daemon/src/control.cpp
+++ b/packages/daemon/src/control.cpp
@@ -104,6 +104,11 @@
         const std::shared_ptr<peer_broadcaster> broadcaster =
             std::make_shared<peer_broadcaster>(shared_, transport_, strand_);
         quarantine_exchange_ = std::make_shared<quarantine_exchange>(shared_, broadcaster, strand_);
+        limit_exchange_ = std::make_shared<limit_exchange>(shared_, broadcaster, strand_);
+        shared_.relay->on_request_limit = [limits = limit_exchange_](const base::endpoint_id& endpoint,
+                                                                     std::optional<double> limit) {
+            limits->record_answer(endpoint, limit);
+        };
     }
     ledger_ = std::make_shared<ledger_driver>(
         shared, strand, platform_, *transport_, [this](const ledger::key_prefix& prefix) {
@@ -173,6 +178,10 @@
         if (quarantine_exchange_) {
             quarantine_exchange_->receive(*clearance);
         }
+    } else if (const peer::limit_report* limit = std::get_if<peer::limit_report>(&message)) {
+        if (limit_exchange_) {
+            limit_exchange_->receive(*limit);
+        }
     } else {
         members_->receive(from, std::move(message));
     }
@@ -255,6 +264,9 @@
         check_isolation();
         update_account_limits();
         state_->publish_revisions();
+        if (limit_exchange_) {
+            limit_exchange_->refresh();
+        }
         const std::uint32_t load = shared_.requests_in_progress.load();
         const std::uint64_t vm_list_change = state_->newest_vm_change();
         members_->update_self([load, vm_list_change](peer::member_record& own) {
--- a/packages/daemon/src/internal/piece_pool.hpp
+++ b/packages/daemon/src/internal/piece_pool.hpp
@@ -77,6 +77,9 @@
     bool configure(const base::service_name& service);
     void dispatch(const base::service_name& service);
     void schedule_wakeup(const base::service_name& service);
+    /// Keeps further calls from an endpoint for as long as its limit on requests asks for. One daemon makes
+    /// all calls to a pool, so the limit is not divided.
+    void pause_limited(const base::service_name& service, const base::endpoint_id& endpoint);
     asio::awaitable<void> send_batch(base::service_name service, relay::piece_batch batch);
     void log_call(const base::service_name& service, const relay::piece_batch& batch,
                   relay::attempt_result result, base::time_point start, const std::string& detail);
--- a/packages/daemon/src/internal/relay_state.hpp
+++ b/packages/daemon/src/internal/relay_state.hpp
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace rattanbay::daemon::internal {
 
@@ -31,8 +32,8 @@
     /// Publishes the serving state of a document with a relay section; called on the control strand.
     void adopt(const std::shared_ptr<const config::environment_document>& document);
 
-    /// Records what an endpoint's response says about further requests: none as it is leaving, or none for a
-    /// while.
+    /// Records what an endpoint's response says about further requests: none as it is leaving, none for a
+    /// while, or a limited number.
     void record_endpoint_wishes(const base::endpoint_id& endpoint,
                                 const relay::endpoint_response_header& header);
 
@@ -45,6 +46,9 @@
     relay::part_quarantine quarantine;
     /// Called with the client limits of each adopted document; set before the first one is adopted.
     std::function<void(const config::client_limits&)> on_client_limits;
+    /// Called with the limit on requests that an endpoint names in an answer, or nothing if it names none.
+    /// Set before the first request; called from any thread.
+    std::function<void(const base::endpoint_id&, std::optional<double>)> on_request_limit;
     /// Number of live daemons that take requests; at least 1.
     std::atomic<std::size_t> live_daemons{1};
     /// Whether new requests are rejected because the daemon is shutting down.
--- a/packages/daemon/src/piece_pool.cpp
+++ b/packages/daemon/src/piece_pool.cpp
@@ -167,8 +167,16 @@
     });
 }
 
+void piece_pool::pause_limited(const base::service_name& service, const base::endpoint_id& endpoint) {
+    const std::optional<base::duration> pause = relay_.balancer.time_per_request(endpoint);
+    if (pause) {
+        queues_[service].scheduler.pause(endpoint, now() + *pause);
+    }
+}
+
 asio::awaitable<void> piece_pool::send_batch(base::service_name service, relay::piece_batch batch) {
     const base::time_point start = now();
+    pause_limited(service, batch.endpoint.id);
     std::vector<relay::piece_order> orders;
     for (const relay::waiting_piece& piece : batch.pieces) {
         orders.push_back(piece.order);
--- a/packages/daemon/src/relay_run.cpp
+++ b/packages/daemon/src/relay_run.cpp
@@ -192,7 +192,7 @@
         attempt current;
         current.endpoint = *endpoint;
         current.start = now();
-        relay_.balancer.begin_call(endpoint->id);
+        relay_.balancer.begin_call(endpoint->id, current.start);
         const relay::attempt_result result = co_await perform_attempt(current, out);
         active_connection_ = nullptr;
         record_attempt(current, result);
--- a/packages/daemon/src/relay_state.cpp
+++ b/packages/daemon/src/relay_state.cpp
@@ -6,6 +6,12 @@
 
 namespace rattanbay::daemon::internal {
 
+namespace {
+
+constexpr int status_ok = 200;
+
+} // namespace
+
 const config::relay_service* relay_serving_state::find(const base::service_name& service) const {
     if (!routes) {
         return nullptr;
@@ -44,6 +50,10 @@
     if (header.is_leaving && balancer.mark_leaving(endpoint)) {
         telemetry::log(telemetry::log_event::endpoint_leaving, {{"endpoint", endpoint.text()}});
     }
+    // Errors may come from what stands before the endpoint, which does not know its limit.
+    if (on_request_limit && (header.request_limit || header.status == status_ok)) {
+        on_request_limit(endpoint, header.request_limit);
+    }
     if (header.retry_after) {
         balancer.pause(endpoint, now() + *header.retry_after);
         telemetry::log(telemetry::log_event::endpoint_paused,
--- a/packages/membership/src/detector.cpp
+++ b/packages/membership/src/detector.cpp
@@ -169,6 +169,8 @@
 
     void on_message(const peer::part_clearance&, const base::address&) {}
 
+    void on_message(const peer::limit_report&, const base::address&) {}
+
     void merge_updates(const peer::member_record& sender, const std::vector<peer::member_record>& updates) {
         if (sender.id != self_.id) {
             mark_predecessor_gone(sender);
--- a/packages/peer/include/rattanbay/peer/datagram.hpp
+++ b/packages/peer/include/rattanbay/peer/datagram.hpp
@@ -5,6 +5,7 @@
 #include <rattanbay/peer/member_record.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -46,6 +47,13 @@
     std::vector<std::uint64_t> parts;
 };
 
-using datagram = std::variant<ping, ack, indirect_ping, crash_report, part_clearance>;
+/// Reports how many requests per second an endpoint takes from all daemons together, or that it has no limit
+/// any more.
+struct limit_report {
+    base::endpoint_id endpoint;
+    std::optional<double> requests_per_second;
+};
+
+using datagram = std::variant<ping, ack, indirect_ping, crash_report, part_clearance, limit_report>;
 
 } // namespace rattanbay::peer
--- a/packages/peer/src/codec.cpp
+++ b/packages/peer/src/codec.cpp
@@ -42,6 +42,10 @@
         internal::pack_fields(out, message.endpoint, message.parts, message.id);
     }
 
+    void operator()(const limit_report& message) const {
+        internal::pack_fields(out, message.endpoint, message.requests_per_second);
+    }
+
     void operator()(const part_clearance& message) const { internal::pack_fields(out, message.parts); }
 
     void operator()(const state_request& message) const {
@@ -97,6 +101,10 @@
         internal::unpack_optional_field(from, 2, message.id);
     }
 
+    void operator()(limit_report& message) const {
+        internal::unpack_fields(from, message.endpoint, message.requests_per_second);
+    }
+
     void operator()(part_clearance& message) const { internal::unpack_fields(from, message.parts); }
 
     void operator()(state_request& message) const {
--- a/packages/peer/test/codec_test.cpp
+++ b/packages/peer/test/codec_test.cpp
@@ -114,13 +114,21 @@
     BOOST_TEST(!peer::decode_datagram(frame.substr(4), secret).has_value());
 }
 
-// Guards against reports whose repetition cannot be recognised.
-BOOST_AUTO_TEST_CASE(reports_of_crashes_survive_the_wire) {
+// Guards against reports whose repetition cannot be recognised, and against a lost end of a limit.
+BOOST_AUTO_TEST_CASE(reports_about_endpoints_survive_the_wire) {
     const peer::crash_report crash{base::endpoint_id("e1"), {1, 2}, 77};
     const base::result<peer::datagram> first =
         peer::decode_datagram(peer::encode(peer::datagram(crash), secret), secret);
     BOOST_REQUIRE(first.has_value());
     BOOST_TEST(std::get<peer::crash_report>(*first).id == 77U);
+    for (const std::optional<double> limit : {std::optional<double>(1.5), std::optional<double>()}) {
+        const peer::limit_report sent{base::endpoint_id("e1"), limit};
+        const base::result<peer::datagram> read =
+            peer::decode_datagram(peer::encode(peer::datagram(sent), secret), secret);
+        BOOST_REQUIRE(read.has_value());
+        BOOST_TEST(std::get<peer::limit_report>(*read).endpoint.text() == "e1");
+        BOOST_CHECK(std::get<peer::limit_report>(*read).requests_per_second == limit);
+    }
 }
 
 // Guards against a field of the messages about pieces being lost or swapped during encoding.
--- a/packages/relay/include/rattanbay/relay/balancer.hpp
+++ b/packages/relay/include/rattanbay/relay/balancer.hpp
@@ -9,6 +9,7 @@
 #include <rattanbay/relay/attempt_rules.hpp>
 #include <rattanbay/relay/messages.hpp>
 #include <rattanbay/relay/piece_scheduler.hpp>
+#include <rattanbay/relay/request_allowance.hpp>
 
 #include <cstddef>
 #include <cstdint>
@@ -30,6 +31,13 @@
     std::uint32_t candidates = 0;
 };
 
+/// Limit on requests to an endpoint, in requests per second.
+struct request_limit {
+    double all_daemons = 0;
+    /// With 0 the endpoint gets no requests of this daemon.
+    double own_share = 0;
+};
+
 /// Requirements and preferences for choosing an endpoint.
 struct endpoint_query {
     base::service_name service;
@@ -58,7 +66,7 @@
     std::optional<chosen_endpoint> choose(const endpoint_query& query, base::time_point now);
 
     /// Records that a call is being sent to the endpoint.
-    void begin_call(const base::endpoint_id& endpoint);
+    void begin_call(const base::endpoint_id& endpoint, base::time_point now);
 
     /// Records the result of a call. `response_time` is the time to the response or first event, and
     /// `relative_size` the size of the call relative to a typical one.
@@ -75,8 +83,17 @@
     /// Records that the endpoint wants no requests until a time.
     void pause(const base::endpoint_id& endpoint, base::time_point until);
 
-    /// Time until the first endpoint of the service wants requests again; nothing if one does now or none is
-    /// listed.
+    /// Limits the requests to the endpoint.
+    void limit_requests(const base::endpoint_id& endpoint, const request_limit& limit, base::time_point now);
+
+    /// Ends the limit on requests to the endpoint.
+    void unlimit_requests(const base::endpoint_id& endpoint);
+
+    /// Time between two requests of all daemons to the endpoint; nothing if it has no limit.
+    std::optional<base::duration> time_per_request(const base::endpoint_id& endpoint) const;
+
+    /// Time until the first endpoint of the service wants requests of this daemon again; nothing if one does
+    /// now, or if this is not known of any.
     std::optional<base::duration> time_to_resume(const base::service_name& service,
                                                  base::time_point now) const;
 
@@ -112,6 +129,10 @@
         /// Whether the endpoint said in an answer that it is leaving.
         bool is_leaving = false;
         base::time_point paused_until;
+        /// Set while the endpoint limits its requests.
+        std::optional<request_allowance> allowance;
+        /// Requests per second of all daemons while it does.
+        double request_limit = 0;
     };
 
     struct candidate {
@@ -122,6 +143,8 @@
     std::vector<candidate> candidates(const endpoint_query& query, base::time_point now,
                                       bool include_ejected) const;
     static bool accepts_work(const endpoint_state& state);
+    /// Whether the endpoint takes a request of this daemon now.
+    static bool takes_request(const endpoint_state& state, base::time_point now);
     double median_call_ms(const std::vector<base::endpoint_id>& ids) const;
     double cost(const endpoint_state& state, const base::failure_domain& preferred_domain, double median_ms,
                 base::time_point now) const;
--- a/packages/relay/include/rattanbay/relay/messages.hpp
+++ b/packages/relay/include/rattanbay/relay/messages.hpp
@@ -94,6 +94,8 @@
     bool is_leaving = false;
     /// Time for which the endpoint, which is overloaded, wants no requests from this daemon.
     std::optional<base::duration> retry_after;
+    /// Requests per second that the endpoint takes from all daemons together, if it names a limit.
+    std::optional<double> request_limit;
     /// Load of the endpoint, if it reports it.
     std::optional<endpoint_load> load;
     /// Header fields to pass on to the client.
--- a/packages/relay/src/balancer.cpp
+++ b/packages/relay/src/balancer.cpp
@@ -28,6 +28,9 @@
 constexpr double affinity_load_factor = 1.5;
 constexpr double affinity_load_margin = 2;
 
+/// Bounds the time between two requests to an endpoint that takes hardly any.
+constexpr double min_request_rate = 0.1;
+
 bool is_connection_failure(attempt_result result) {
     return result == attempt_result::not_sent || result == attempt_result::broken ||
            result == attempt_result::timed_out;
@@ -115,7 +118,7 @@
     const double median_ms = median_call_ms(it->second);
     for (const base::endpoint_id& id : it->second) {
         const endpoint_state& state = endpoints_.at(id);
-        const bool wants_work = accepts_work(state) && state.paused_until <= now;
+        const bool wants_work = takes_request(state, now);
         const bool tried = std::ranges::find(query.excluded, id) != query.excluded.end();
         const bool full = query.max_running > 0 && state.running >= query.max_running;
         const bool ejected = now < state.ejected_until;
@@ -169,11 +172,15 @@
                            best->state->running, static_cast<std::uint32_t>(from.size())};
 }
 
-void balancer::begin_call(const base::endpoint_id& endpoint) {
+void balancer::begin_call(const base::endpoint_id& endpoint, base::time_point now) {
     const std::lock_guard<std::mutex> lock(mutex_);
     const auto it = endpoints_.find(endpoint);
-    if (it != endpoints_.end()) {
-        ++it->second.running;
+    if (it == endpoints_.end()) {
+        return;
+    }
+    ++it->second.running;
+    if (it->second.allowance) {
+        it->second.allowance->take(now);
     }
 }
 
@@ -219,6 +226,11 @@
     return state.vm.state == object_api::vm_state::live && !state.is_leaving;
 }
 
+bool balancer::takes_request(const endpoint_state& state, base::time_point now) {
+    return accepts_work(state) && state.paused_until <= now &&
+           (!state.allowance || state.allowance->is_available(now));
+}
+
 bool balancer::mark_leaving(const base::endpoint_id& endpoint) {
     const std::lock_guard<std::mutex> lock(mutex_);
     const auto it = endpoints_.find(endpoint);
@@ -238,6 +250,40 @@
     }
 }
 
+void balancer::limit_requests(const base::endpoint_id& endpoint, const request_limit& limit,
+                              base::time_point now) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const auto it = endpoints_.find(endpoint);
+    if (it == endpoints_.end()) {
+        return;
+    }
+    it->second.request_limit = limit.all_daemons;
+    std::optional<request_allowance>& allowance = it->second.allowance;
+    if (allowance) {
+        allowance->set_rate(limit.own_share, now);
+    } else {
+        allowance.emplace(limit.own_share, now);
+    }
+}
+
+std::optional<base::duration> balancer::time_per_request(const base::endpoint_id& endpoint) const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const auto it = endpoints_.find(endpoint);
+    if (it == endpoints_.end() || !it->second.allowance) {
+        return std::nullopt;
+    }
+    const double seconds = 1 / std::max(it->second.request_limit, min_request_rate);
+    return std::chrono::duration_cast<base::duration>(std::chrono::duration<double>(seconds));
+}
+
+void balancer::unlimit_requests(const base::endpoint_id& endpoint) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const auto it = endpoints_.find(endpoint);
+    if (it != endpoints_.end()) {
+        it->second.allowance.reset();
+    }
+}
+
 std::optional<base::duration> balancer::time_to_resume(const base::service_name& service,
                                                        base::time_point now) const {
     const std::lock_guard<std::mutex> lock(mutex_);
@@ -246,8 +292,10 @@
     for (const base::endpoint_id& id :
          it == by_service_.end() ? std::vector<base::endpoint_id>() : it->second) {
         const endpoint_state& state = endpoints_.at(id);
-        if (accepts_work(state)) {
-            const base::duration left = state.paused_until - now;
+        const std::optional<base::duration> next =
+            state.allowance ? state.allowance->time_to_next(now) : base::duration::zero();
+        if (accepts_work(state) && next) {
+            const base::duration left = std::max(*next, state.paused_until - now);
             out = out ? std::min(*out, left) : left;
         }
     }
--- a/packages/relay/test/balancer_test.cpp
+++ b/packages/relay/test/balancer_test.cpp
@@ -77,6 +77,43 @@
     BOOST_TEST(!balancer.is_available(base::endpoint_id("e1"), at_ms(1500)));
 }
 
+// An endpoint got far more requests than the limit that it had named for all daemons together.
+BOOST_FIXTURE_TEST_CASE(a_limited_endpoint_gets_no_more_than_its_share, three_endpoint_fixture) {
+    query.excluded = {base::endpoint_id("e2"), base::endpoint_id("e3")};
+    balancer.limit_requests(base::endpoint_id("e1"), {4, 2}, at_ms(0));
+    int sent = 0;
+    for (std::int64_t ms = 0; ms <= 10'000; ms += 10) {
+        if (balancer.choose(query, at_ms(ms))) {
+            balancer.begin_call(base::endpoint_id("e1"), at_ms(ms));
+            balancer.end_call(base::endpoint_id("e1"), relay::attempt_result::answered,
+                              base::from_milliseconds(5), 1, at_ms(ms));
+            ++sent;
+        }
+    }
+    BOOST_TEST(sent == 21);
+    BOOST_CHECK(balancer.time_per_request(base::endpoint_id("e1")) == base::from_milliseconds(250));
+    balancer.unlimit_requests(base::endpoint_id("e1"));
+    BOOST_TEST(balancer.choose(query, at_ms(10'000)).has_value());
+    BOOST_TEST(!balancer.time_per_request(base::endpoint_id("e1")).has_value());
+}
+
+// Guards against requests at a daemon that has no share, against a Retry-After that no share stands behind,
+// and against a limit that a new VM list ends.
+BOOST_FIXTURE_TEST_CASE(a_daemon_without_a_share_uses_other_endpoints, three_endpoint_fixture) {
+    for (const char* const id : {"e1", "e2", "e3"}) {
+        balancer.limit_requests(base::endpoint_id(id), {1, 0}, at_ms(0));
+    }
+    list.version = 2;
+    balancer.update(list);
+    BOOST_TEST(choose().empty());
+    BOOST_TEST(!balancer.time_to_resume(query.service, at_ms(0)).has_value());
+    balancer.limit_requests(base::endpoint_id("e2"), {1, 0.5}, at_ms(0));
+    BOOST_TEST(choose() == "e2");
+    balancer.begin_call(base::endpoint_id("e2"), at_ms(0));
+    BOOST_TEST(choose().empty());
+    BOOST_CHECK(balancer.time_to_resume(query.service, at_ms(500)) == base::from_milliseconds(1500));
+}
+
 // Guards against sending work to an endpoint that is leaving or is no longer listed.
 BOOST_FIXTURE_TEST_CASE(leaving_endpoints_get_no_work, three_endpoint_fixture) {
     list.vms[0].state = object_api::vm_state::leaving;
@@ -93,7 +130,7 @@
 BOOST_FIXTURE_TEST_CASE(own_failure_domain_is_preferred_until_it_is_busy, three_endpoint_fixture) {
     BOOST_TEST(choose() == "e1");
     for (int n = 0; n < 4; ++n) {
-        balancer.begin_call(base::endpoint_id("e1"));
+        balancer.begin_call(base::endpoint_id("e1"), at_ms(0));
     }
     BOOST_TEST(choose() != "e1");
 }
@@ -110,7 +147,7 @@
 // of a service when its remaining endpoints are ejected.
 BOOST_FIXTURE_TEST_CASE(failing_endpoints_are_ejected_while_others_are_available, three_endpoint_fixture) {
     for (int n = 0; n < 2; ++n) {
-        balancer.begin_call(base::endpoint_id("e1"));
+        balancer.begin_call(base::endpoint_id("e1"), at_ms(0));
         balancer.end_call(base::endpoint_id("e1"), relay::attempt_result::broken, {}, 1, at_ms(0));
     }
     for (int n = 0; n < 20; ++n) {
@@ -129,7 +166,7 @@
         BOOST_TEST(choose() == preferred);
     }
     for (int n = 0; n < 10; ++n) {
-        balancer.begin_call(base::endpoint_id(preferred));
+        balancer.begin_call(base::endpoint_id(preferred), at_ms(0));
     }
     BOOST_TEST(choose() != preferred);
 }
--- a/packages/telemetry/include/rattanbay/telemetry/log_event.hpp
+++ b/packages/telemetry/include/rattanbay/telemetry/log_event.hpp
@@ -59,6 +59,8 @@
     part_cleared = 7006,
     part_report_dropped = 7007,
     endpoint_paused = 7008,
+    endpoint_limited = 7009,
+    endpoint_limit_ended = 7010,
     lines_dropped = 8001,
 };
 
@@ -70,7 +72,7 @@
 };
 
 /// All log events, ordered by number.
-constexpr std::array<log_event_info, 49> log_events{{
+constexpr std::array<log_event_info, 51> log_events{{
     {log_event::daemon_started, log_level::info, "The daemon listens on all its addresses."},
     {log_event::daemon_draining, log_level::info, "A planned stop began; the daemon leaves the entry lists."},
     {log_event::daemon_stopped, log_level::info, "The planned stop ended; no request was left open."},
@@ -144,8 +146,11 @@
     {log_event::part_cleared, log_level::info,
      "An endpoint answered a request with a suspected part of a prompt."},
     {log_event::part_report_dropped, log_level::warning,
-     "A report about parts of prompts was not sent because of their rate."},
+     "A report about parts of prompts or limits of endpoints was not sent because of their rate."},
     {log_event::endpoint_paused, log_level::info, "An endpoint wants no requests for a while."},
+    {log_event::endpoint_limited, log_level::info,
+     "An endpoint limits the requests that it takes from all daemons together."},
+    {log_event::endpoint_limit_ended, log_level::info, "An endpoint limits its requests no longer."},
     {log_event::lines_dropped, log_level::warning,
      "Log lines were dropped as they could not be written in time."},
 }};
@@ -162,7 +167,7 @@
 };
 
 template <> struct rattanbay::base::enum_names<rattanbay::telemetry::log_event> {
-    static constexpr std::array<enum_name<telemetry::log_event>, 49> table{{
+    static constexpr std::array<enum_name<telemetry::log_event>, 51> table{{
         {telemetry::log_event::daemon_started, "daemon_started"},
         {telemetry::log_event::daemon_draining, "daemon_draining"},
         {telemetry::log_event::daemon_stopped, "daemon_stopped"},
@@ -211,6 +216,8 @@
         {telemetry::log_event::part_cleared, "part_cleared"},
         {telemetry::log_event::part_report_dropped, "part_report_dropped"},
         {telemetry::log_event::endpoint_paused, "endpoint_paused"},
+        {telemetry::log_event::endpoint_limited, "endpoint_limited"},
+        {telemetry::log_event::endpoint_limit_ended, "endpoint_limit_ended"},
         {telemetry::log_event::lines_dropped, "lines_dropped"},
     }};
 };
--- a/packages/telemetry/src/metrics.cpp
+++ b/packages/telemetry/src/metrics.cpp
@@ -106,6 +106,11 @@
             .Help("Errors in parts of the document in force that are left out")
             .Register(registry)
             .Add({});
+    prometheus::Gauge& limited_endpoints = prometheus::BuildGauge()
+                                               .Name("rattanbay_limited_endpoints")
+                                               .Help("Endpoints that limit the requests of all daemons")
+                                               .Register(registry)
+                                               .Add({});
     prometheus::Histogram& loop_delay_seconds =
         prometheus::BuildHistogram()
             .Name("rattanbay_loop_delay_seconds")
@@ -180,6 +185,10 @@
     state_->unusable_document_parts.Set(static_cast<double>(count));
 }
 
+void metrics::set_limited_endpoints(std::size_t count) {
+    state_->limited_endpoints.Set(static_cast<double>(count));
+}
+
 void metrics::record_loop_delay(base::duration delay) {
     state_->loop_delay_seconds.Observe(to_seconds(delay));
 }
