Answer what is open at the end of a planned stop

A request whose deadline is after the stop is refused at once, as not run, with a delay of 10 ms, since any other VM takes it. 0.3 s before the end all open requests end with a final answer: refused if nothing was sent, unknown otherwise; a stream that has begun is broken off, so that its client can resume it.

--- a/packages/daemon/src/control.cpp
+++ b/packages/daemon/src/control.cpp
@@ -190,7 +190,8 @@
 asio::awaitable<peer::frame> control_plane::handle_frame(peer::frame message,
                                                          std::shared_ptr<requester_link> requester) {
     if (const peer::state_request* request = std::get_if<peer::state_request>(&message)) {
-        co_return co_await state_->build_state_reply(*request, members_->members());
+        std::vector<peer::member_record> members = members_->members();
+        co_return co_await state_->build_state_reply(*request, std::move(members));
     }
     if (peer::make_pieces* pieces = std::get_if<peer::make_pieces>(&message)) {
         if (piece_router_) {
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -30,6 +30,8 @@
 /// Time for which a draining daemon accepts requests after the entry lists cached by callers have expired.
 constexpr std::chrono::seconds accept_margin{2};
 constexpr std::chrono::milliseconds drain_poll_interval{20};
+/// Time before the end of a planned stop in which requests that are still open get their final answers.
+constexpr std::chrono::milliseconds final_answer_time{300};
 
 base::incarnation random_incarnation() {
     std::random_device device;
@@ -205,14 +207,20 @@
     asio::awaitable<void> run_drain() {
         control_plane_->begin_drain();
         caller_server_->disable_keep_alive();
+        const base::time_point drain_deadline = now() + accept_period() + shared_.settings.drain_timeout;
+        if (shared_.relay) {
+            shared_.relay->stop_deadline.store(drain_deadline - final_answer_time);
+        }
         co_await sleep_for(accept_period());
         if (shared_.relay) {
             shared_.relay->rejecting_requests.store(true);
         }
         caller_server_->shut_down();
-        const base::time_point drain_deadline = now() + shared_.settings.drain_timeout;
         while (caller_server_->open_requests() > 0 && now() < drain_deadline) {
             co_await sleep_for(drain_poll_interval);
+            if (shared_.relay && now() >= shared_.relay->stop_deadline.load()) {
+                shared_.relay->open_requests->end_all();
+            }
         }
         co_await control_plane_->shut_down();
         telemetry::log(telemetry::log_event::daemon_stopped,
--- a/packages/daemon/src/internal/relay_handler.hpp
+++ b/packages/daemon/src/internal/relay_handler.hpp
@@ -34,12 +34,14 @@
 private:
     /// Sets the route of a request, or returns the error response if it has none.
     std::optional<http::response> find_route(relay_input& input) const;
+    /// Rejects a request that may not end before this daemon does, so that its client can go to another one.
+    std::optional<http::response> check_stop_deadline(const relay_input& input, http::responder& out) const;
     /// Sets the account and urgency of a request with a route, or returns the error response if its key is
     /// missing or unknown.
     std::optional<http::response> authenticate(relay_input& input) const;
     /// Logs a rejected request and builds its error response.
-    http::response problem_response(const base::request_id& id, base::problem_kind kind,
-                                    std::string detail) const;
+    http::response problem_response(const base::request_id& id, base::problem_kind kind, std::string detail,
+                                    std::optional<base::duration> retry_delay = std::nullopt) const;
 
     shared_state& shared_;
     relay_state& relay_;
--- a/packages/daemon/src/internal/relay_run.hpp
+++ b/packages/daemon/src/internal/relay_run.hpp
@@ -51,6 +51,8 @@
     /// Whether the client has closed its connection, also if that was not processed yet.
     bool has_client_left(http::responder& out);
     void handle_disconnect();
+    /// Ends the request with a final answer, as the daemon is about to exit.
+    void end_early();
     /// Whether a part of the prompt is quarantined, so that the request may not be sent (again).
     bool is_quarantined();
     void schedule_input_release();
@@ -112,6 +114,7 @@
     std::optional<std::string> last_event_id_;
     bool stream_started_ = false;
     bool client_disconnected_ = false;
+    bool ended_early_ = false;
     http::client_connection* active_connection_ = nullptr;
     /// VM list from which the last endpoint was chosen: its version, and the time since the platform's last
     /// answer about it.
--- a/packages/daemon/src/internal/relay_state.hpp
+++ b/packages/daemon/src/internal/relay_state.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "open_runs.hpp"
+
 #include <rattanbay/base/snapshot.hpp>
 #include <rattanbay/config.hpp>
 #include <rattanbay/http/connection_pool.hpp>
@@ -51,6 +53,10 @@
     std::function<void(const base::endpoint_id&, std::optional<double>)> on_request_limit;
     /// Number of live daemons that take requests; at least 1.
     std::atomic<std::size_t> live_daemons{1};
+    /// Time by which the daemon has to have answered all requests, as it is stopped; the maximum otherwise.
+    std::atomic<base::time_point> stop_deadline{base::time_point::max()};
+    /// Requests in progress, which get a final answer when the stop deadline comes.
+    const std::shared_ptr<open_runs> open_requests = std::make_shared<open_runs>();
     /// Whether new requests are rejected because the daemon is shutting down.
     std::atomic<bool> rejecting_requests{false};
 };
--- a/packages/daemon/src/relay_handler.cpp
+++ b/packages/daemon/src/relay_handler.cpp
@@ -15,6 +15,8 @@
 
 /// Retry delay that is sent to clients while the daemon is not ready.
 constexpr std::chrono::milliseconds not_ready_retry_delay{250};
+/// Retry delay that is sent to clients whose request any other VM takes now.
+constexpr std::chrono::milliseconds other_vm_retry_delay{10};
 constexpr int status_ok = 200;
 constexpr int status_unavailable = 503;
 
@@ -68,6 +70,9 @@
     if (!rejection) {
         rejection = authenticate(input);
     }
+    if (!rejection) {
+        rejection = check_stop_deadline(input, out);
+    }
     if (rejection) {
         co_await out.send(std::move(*rejection));
         co_return;
@@ -119,12 +124,25 @@
     return std::nullopt;
 }
 
+std::optional<http::response> relay_handler::check_stop_deadline(const relay_input& input,
+                                                                 http::responder& out) const {
+    const base::duration allowed =
+        std::min(input.request.time_left.value_or(input.route->timeout), input.route->timeout);
+    if (relay_.stop_deadline.load() - input.arrival >= allowed) {
+        return std::nullopt;
+    }
+    out.close_after_response();
+    return problem_response(input.request.id, base::problem_kind::not_ready,
+                            "this VM stops before the request's deadline", other_vm_retry_delay);
+}
+
 http::response relay_handler::problem_response(const base::request_id& id, base::problem_kind kind,
-                                               std::string detail) const {
+                                               std::string detail,
+                                               std::optional<base::duration> retry_delay) const {
     telemetry::log(telemetry::log_event::request_rejected,
                    {{"request", id.text()}, {"kind", std::string(base::to_name(kind))}, {"detail", detail}});
-    std::optional<base::duration> retry_after;
-    if (kind == base::problem_kind::not_ready) {
+    std::optional<base::duration> retry_after = retry_delay;
+    if (!retry_after && kind == base::problem_kind::not_ready) {
         retry_after = not_ready_retry_delay;
     }
     const base::problem problem{kind, base::outcome::not_run, std::move(detail), std::nullopt};
--- a/packages/daemon/src/relay_run.cpp
+++ b/packages/daemon/src/relay_run.cpp
@@ -2,6 +2,7 @@
 
 #include "internal/clock.hpp"
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
@@ -65,6 +66,14 @@
             run->handle_disconnect();
         }
     });
+    const open_runs::registration registration(relay_.open_requests, [weak, executor = executor_]() {
+        asio::post(executor, [weak]() {
+            const std::shared_ptr<relay_run> run = weak.lock();
+            if (run) {
+                run->end_early();
+            }
+        });
+    });
     const auto budget = input_.serving->resend_budgets.find(service_);
     if (budget != input_.serving->resend_budgets.end()) {
         budget->second->count_request(now());
@@ -116,6 +125,17 @@
     }
 }
 
+void relay_run::end_early() {
+    ended_early_ = true;
+    deadline_ = std::min(deadline_, now());
+    if (active_connection_ != nullptr) {
+        active_connection_->close();
+    }
+    if (stages_) {
+        stages_->stop();
+    }
+}
+
 bool relay_run::is_quarantined() {
     const bool is_pending_trial = admission_.is_trial && sent_attempts_ == 0;
     if (!shared_parts_.empty() && !is_pending_trial) {
@@ -145,8 +165,9 @@
         log_result("abandoned");
         co_return false;
     }
-    if (failure) {
-        std::string detail = "the stages of the request could not be done in time";
+    if (failure || ended_early_) {
+        std::string detail =
+            ended_early_ ? "this VM is stopping" : "the stages of the request could not be done in time";
         co_await send_problem(out, base::problem_kind::overloaded, base::outcome::not_run, std::move(detail));
         co_return false;
     }
@@ -215,9 +236,9 @@
         ++sent_attempts_;
         may_have_run_ = may_have_run_ || relay::outcome_after(result) != base::outcome::not_run;
     }
-    const bool allowed = !client_disconnected_ && relay::may_resend(result, input_.route->retry) &&
-                         sent_attempts_ < input_.route->max_attempts &&
-                         unsent_attempts_ < max_unsent_attempts;
+    const bool allowed =
+        !client_disconnected_ && !ended_early_ && relay::may_resend(result, input_.route->retry) &&
+        sent_attempts_ < input_.route->max_attempts && unsent_attempts_ < max_unsent_attempts;
     if (!allowed || result == relay::attempt_result::not_sent) {
         return allowed;
     }
