Keep a silent attempt open until its replacement has begun

Callers saw streams cut with 1.7 to 2.1 s left, and 504 for idempotent requests whose endpoint was about to answer. A stream that was silent for four gaps, and a repeatable request without a response for 0.4 of its time, had its connection closed before it was known whether an attempt, the budget, another endpoint or the inputs were there for a replacement. The inputs of a route with stages were released at the first event, so each resume was sent without them and was declined with status 400.

Silence now ends no attempt. A second attempt is begun beside the silent one if max_attempts, the budget, an endpoint and the inputs allow it, and whichever goes on first is forwarded; the other one is closed in the same step. A replacement that is declined or breaks changes nothing for the first attempt. Stages run again before a repeat whose inputs were released, have expired or were refused with 400 or 409; a request is not sent without its inputs. Both changes are in one commit, as the replacement needs the inputs and both rewrite the attempt loop. The attempt, the replacement and the reports of results are files of their own.

silent_endpoint_test, 11 cases. On the code before, 7 failed: the stream without a budget, the declined resume and both staged streams ended without an answer ("critical check answer.has_value() has failed"), the inputs that were gone were sent again (inputs[0] == inputs[1], 2 pieces instead of 4), and both slow answers got 504 instead of 200. The check that a stream which goes on first is kept was made stricter after that run and was not run on the old code.

--- a/packages/daemon/src/input_stages.cpp
+++ b/packages/daemon/src/input_stages.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <cassert>
 
 namespace rattanbay::daemon::internal {
 
@@ -178,7 +179,29 @@
     }
 }
 
+bool input_stages::has_inputs(base::time_point now) const {
+    if (released_ || !is_complete()) {
+        return false;
+    }
+    for (std::size_t n = 0; n < stages_.size(); ++n) {
+        const config::relay_service* const service = plan_.serving->find(plan_.route->stages[n].service);
+        const bool is_input = !has_dependents(n) && stages_[n].end_time.has_value();
+        if (is_input && service != nullptr && service->pieces &&
+            now + estimate_fetch_time() >= *stages_[n].end_time + service->pieces->result_lifetime) {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool input_stages::can_run_in_time(base::time_point now) const {
+    return std::ranges::all_of(stages_, [this, now](const stage_state& row) {
+        return row.pieces == 0 || now + row.estimate.unloaded.total() < plan_.latest_start;
+    });
+}
+
 std::vector<std::string> input_stages::inputs() const {
+    assert(!released_ && is_complete());
     std::vector<std::string> out;
     for (std::size_t n = 0; n < stages_.size(); ++n) {
         if (!has_dependents(n)) {
@@ -224,6 +247,7 @@
 
 void input_stages::release() {
     stopped_ = true;
+    released_ = true;
     for (std::size_t n = 0; n < stages_.size(); ++n) {
         if (stages_[n].ticket && !stages_[n].completed) {
             router_->cancel(std::move(stages_[n].ticket));
--- a/packages/daemon/src/internal/input_stages.hpp
+++ b/packages/daemon/src/internal/input_stages.hpp
@@ -40,7 +40,15 @@
     /// Ends a `run` in progress.
     void stop();
 
-    /// Handles of the results of the stages on which no other stage depends.
+    /// Whether all inputs exist: the stages are complete, and their results were not released and have not
+    /// expired at their holders.
+    bool has_inputs(base::time_point now) const;
+
+    /// Whether the stages could be run from the beginning and the request be started in time.
+    bool can_run_in_time(base::time_point now) const;
+
+    /// Handles of the results of the stages on which no other stage depends. Must not be called after
+    /// `release`.
     std::vector<std::string> inputs() const;
 
     /// Estimated time for an endpoint to receive the request and fetch these results.
@@ -84,6 +92,7 @@
     base::time_point start_;
     std::optional<relay::piece_failure> failure_;
     bool stopped_ = false;
+    bool released_ = false;
 };
 
 } // namespace rattanbay::daemon::internal
--- /dev/null
+++ b/packages/daemon/src/internal/relay_attempt.hpp
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "relay_state.hpp"
+
+#include <rattanbay/http/client_connection.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace rattanbay::daemon::internal {
+
+namespace asio = boost::asio;
+
+/// Complete events of a stream that were not forwarded yet.
+struct event_batch {
+    std::string bytes;
+    /// Identifier of the last event that has one.
+    std::optional<std::string> last_id;
+};
+
+/// Attempt of a relayed request at one endpoint: its connection and what was read of its response. Runs on
+/// the request's executor.
+class relay_attempt {
+public:
+    /// `position` counts the attempts of the request from 1.
+    relay_attempt(relay_state& relay, const base::request_id& request, relay::chosen_endpoint chosen,
+                  std::size_t position, base::time_point start_time);
+
+    /// Takes a connection that was idle for at most `max_idle` or opens one. Returns whether it has one.
+    asio::awaitable<bool> connect(asio::any_io_executor executor, base::duration max_idle,
+                                  base::duration limit);
+
+    /// Starts sending the request.
+    void send(http::request message, base::duration time_left);
+
+    /// Reads the header of the response. Returns the result if the response cannot be forwarded, or nothing.
+    asio::awaitable<std::optional<relay::attempt_result>> read_header(base::duration time_left);
+
+    /// Whether the response is an event stream.
+    bool is_stream() const;
+
+    /// Reads more of a stream and adds its complete events to `events`.
+    asio::awaitable<base::result<void>> read_events(base::duration time_left);
+
+    /// Reads the rest of a response that is not a stream.
+    asio::awaitable<base::result<std::string>> read_body(base::duration time_left);
+
+    /// Whether the stream ended inside an event.
+    bool has_partial_event() const { return splitter_.has_partial_event(); }
+
+    /// Closes the connection; an operation in progress fails.
+    void close();
+
+    /// Keeps the connection for other requests if that is possible, and closes it otherwise.
+    void release();
+
+    /// Endpoint and position among the attempts of the request.
+    const relay::chosen_endpoint endpoint;
+    const std::size_t number;
+    const base::time_point start;
+    relay::endpoint_response_header header;
+    event_batch events;
+    /// Whether the stream was read to its end.
+    bool stream_ended = false;
+    /// Time to the response or the first event.
+    std::optional<base::duration> first_byte;
+    /// Reason of a failure, for the log.
+    std::string detail;
+    bool reused = false;
+    /// Whether the response of another attempt is forwarded instead.
+    bool replaced = false;
+    /// Whether the request was ended or goes on at another attempt before this one responded.
+    bool cancelled = false;
+
+private:
+    relay_state& relay_;
+    const base::request_id request_;
+    std::unique_ptr<http::client_connection> connection_;
+    relay::event_splitter splitter_;
+};
+
+} // namespace rattanbay::daemon::internal
--- a/packages/daemon/src/internal/relay_run.hpp
+++ b/packages/daemon/src/internal/relay_run.hpp
@@ -2,10 +2,11 @@
 
 #include "input_stages.hpp"
 #include "quarantine_exchange.hpp"
+#include "relay_attempt.hpp"
 #include "shared_state.hpp"
 
+#include <rattanbay/base/enum_names.hpp>
 #include <rattanbay/base/problem.hpp>
-#include <rattanbay/http/client_connection.hpp>
 #include <rattanbay/http/server.hpp>
 
 #include <memory>
@@ -25,6 +26,9 @@
     base::time_point arrival;
 };
 
+/// Whether a replacement for a silent attempt is begun, or why not.
+enum class replacement_decision { begun, no_attempt, no_time, no_endpoint, no_budget, quarantined };
+
 /// Relays one request: runs its input stages, sends it to an endpoint, forwards the response and retries at
 /// other endpoints where that is allowed. Runs on the strand of the client's connection.
 class relay_run : public std::enable_shared_from_this<relay_run> {
@@ -37,49 +41,73 @@
     asio::awaitable<void> execute(http::responder& out);
 
 private:
-    /// Attempt at one endpoint.
-    struct attempt {
-        relay::chosen_endpoint endpoint;
-        std::unique_ptr<http::client_connection> connection;
-        base::time_point start;
-        /// Time to the response or the first event.
-        std::optional<base::duration> first_byte;
-        std::string detail;
-        bool reused = false;
+    /// Second attempt beside a silent one.
+    struct replacement {
+        std::shared_ptr<relay_attempt> attempt;
+        /// Whether its response has begun; it is forwarded then.
+        bool begun = false;
+        bool cancelled = false;
     };
 
     /// Whether the client has closed its connection, also if that was not processed yet.
-    bool has_client_left(http::responder& out);
+    bool has_client_left();
     void handle_disconnect();
     /// Ends the request with a final answer, as the daemon is about to exit.
     void end_early();
+    /// Closes the connections of all attempts and ends the stages in progress.
+    void close_attempts();
     /// Whether a part of the prompt is quarantined, so that the request may not be sent (again).
     bool is_quarantined();
     void schedule_input_release();
+    std::shared_ptr<input_stages> make_stages();
     asio::awaitable<bool> prepare_inputs(http::responder& out);
+    /// Produces the inputs again if they were released or have expired. Returns whether they exist.
+    asio::awaitable<bool> restore_inputs();
+    /// Whether the inputs exist or could be produced again in time.
+    bool can_have_inputs() const;
     asio::awaitable<void> make_attempts(http::responder& out);
     std::optional<relay::chosen_endpoint> choose_endpoint();
-    /// Records the result of an attempt and returns whether another one is allowed. A retry of a request that
-    /// was sent spends from the resend budget.
+    std::shared_ptr<relay_attempt> begin_attempt(const relay::chosen_endpoint& endpoint);
+    /// Connects and sends the request with its inputs, which have to exist. Returns the result if that fails.
+    asio::awaitable<std::optional<relay::attempt_result>> send_attempt(relay_attempt& current);
+    asio::awaitable<relay::attempt_result> perform_attempt(relay_attempt& current, http::responder& out);
+    asio::awaitable<relay::attempt_result> forward_answer(relay_attempt& current, http::responder& out);
+    asio::awaitable<relay::attempt_result> forward_response(relay_attempt& current, http::responder& out);
+    asio::awaitable<relay::attempt_result> forward_stream(relay_attempt& current, http::responder& out);
+    /// Forwards the complete events that were read. Returns false if the client has left.
+    asio::awaitable<bool> forward_events(relay_attempt& current, http::responder& out);
+    /// Returns whether another attempt is allowed after this result. A retry of a request that was sent
+    /// spends from the resend budget.
     bool should_retry(relay::attempt_result result);
-    asio::awaitable<relay::attempt_result> perform_attempt(attempt& current, http::responder& out);
-    asio::awaitable<bool> connect(attempt& current);
-    asio::awaitable<relay::attempt_result> read_response(attempt& current, http::responder& out);
-    asio::awaitable<relay::attempt_result>
-    forward_response(attempt& current, const relay::endpoint_response_header& header, http::responder& out);
-    asio::awaitable<relay::attempt_result>
-    forward_stream(attempt& current, const relay::endpoint_response_header& header, http::responder& out);
-    asio::awaitable<std::optional<relay::attempt_result>>
-    forward_events(const relay::endpoint_response_header& header, http::responder& out);
-    relay::attempt_result failure_result(attempt& current, const base::error& reason) const;
-    base::duration attempt_timeout() const;
-    base::duration silence_timeout() const;
+    bool spend_resend();
+    relay::attempt_result failure_result(relay_attempt& current, relay::attempt_result result) const;
+    relay::attempt_result failure_result(relay_attempt& current, const base::error& reason) const;
+    void finish_attempt(relay_attempt& current, relay::attempt_result result);
+
+    /// Silence of the attempt after which a replacement is considered; nothing if the request may not be
+    /// repeated.
+    std::optional<base::duration> silence_limit(const relay_attempt& current) const;
+    void watch_silence();
+    /// Ends the watch for silence and cancels a replacement, as the attempt goes on.
+    void handle_progress();
+    replacement_decision decide_replacement();
+    /// Begins a replacement if the attempt has not gone on since it was watched (`progress`).
+    asio::awaitable<void> replace_silent_attempt(std::uint64_t progress);
+    asio::awaitable<void> make_replacement(std::shared_ptr<replacement> next);
+    /// Sends the replacement, trying further endpoints if one cannot be reached. Returns whether it was sent.
+    asio::awaitable<bool> send_replacement(replacement& next);
+    /// Reads the response until there is something to forward. Returns the result if it fails.
+    asio::awaitable<std::optional<relay::attempt_result>> await_answer(relay_attempt& current);
+    void cancel_replacement();
+    /// Waits for the outcome of a replacement in progress. Returns the attempt if its response has begun.
+    asio::awaitable<std::shared_ptr<relay_attempt>> take_replacement();
+
     base::duration remaining_time() const;
     base::duration retry_delay();
     asio::awaitable<void> send_failure(http::responder& out);
     asio::awaitable<void> send_problem(http::responder& out, base::problem_kind kind, base::outcome outcome,
                                        std::string detail);
-    void record_attempt(const attempt& current, relay::attempt_result result);
+    void record_attempt(const relay_attempt& current, relay::attempt_result result);
     void log_result(std::string_view result);
     /// Size of the request relative to a typical one.
     double relative_size() const;
@@ -98,11 +126,13 @@
     const std::vector<relay::part_key> shared_parts_;
     part_admission admission_;
     asio::steady_timer input_release_timer_;
+    asio::steady_timer silence_timer_;
+    /// Cancelled when a replacement has begun or failed.
+    asio::steady_timer replacement_signal_;
     /// Failure domain where the results of the input stages are placed and the request should run.
     base::failure_domain preferred_domain_;
-    relay::event_splitter splitter_;
     std::vector<base::endpoint_id> tried_endpoints_;
-    /// Attempts whose request was sent, and attempts that failed before that.
+    /// Attempts whose request was sent, also those in progress, and attempts that failed before that.
     std::size_t sent_attempts_ = 0;
     std::size_t unsent_attempts_ = 0;
     /// Whether an attempt may have run the request.
@@ -115,7 +145,13 @@
     bool stream_started_ = false;
     bool client_disconnected_ = false;
     bool ended_early_ = false;
-    http::client_connection* active_connection_ = nullptr;
+    /// Set while the request is handled.
+    http::responder* client_ = nullptr;
+    /// Attempt whose response is forwarded.
+    std::shared_ptr<relay_attempt> active_;
+    std::shared_ptr<replacement> replacement_;
+    /// Counts how often an attempt went on.
+    std::uint64_t progress_ = 0;
     /// VM list from which the last endpoint was chosen: its version, and the time since the platform's last
     /// answer about it.
     std::uint64_t list_version_ = 0;
@@ -126,3 +162,14 @@
 };
 
 } // namespace rattanbay::daemon::internal
+
+template <> struct rattanbay::base::enum_names<rattanbay::daemon::internal::replacement_decision> {
+    static constexpr std::array<enum_name<daemon::internal::replacement_decision>, 6> table{{
+        {daemon::internal::replacement_decision::begun, "begun"},
+        {daemon::internal::replacement_decision::no_attempt, "no_attempt"},
+        {daemon::internal::replacement_decision::no_time, "no_time"},
+        {daemon::internal::replacement_decision::no_endpoint, "no_endpoint"},
+        {daemon::internal::replacement_decision::no_budget, "no_budget"},
+        {daemon::internal::replacement_decision::quarantined, "quarantined"},
+    }};
+};
--- /dev/null
+++ b/packages/daemon/src/relay_attempt.cpp
@@ -0,0 +1,121 @@
+#include "internal/relay_attempt.hpp"
+
+#include "internal/clock.hpp"
+
+#include <rattanbay/telemetry.hpp>
+
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <cassert>
+
+namespace rattanbay::daemon::internal {
+
+namespace {
+
+constexpr std::chrono::milliseconds connect_timeout{300};
+/// Time to read the body of a refusal, without which its connection cannot be used again.
+constexpr std::chrono::milliseconds max_refusal_body_time{50};
+constexpr std::size_t max_response_bytes = 64 * 1024 * 1024;
+constexpr int min_redirection_status = 300;
+
+} // namespace
+
+relay_attempt::relay_attempt(relay_state& relay, const base::request_id& request,
+                             relay::chosen_endpoint chosen, std::size_t position, base::time_point start_time)
+    : endpoint(std::move(chosen))
+    , number(position)
+    , start(start_time)
+    , relay_(relay)
+    , request_(request) {}
+
+asio::awaitable<bool> relay_attempt::connect(asio::any_io_executor executor, base::duration max_idle,
+                                             base::duration limit) {
+    connection_ = relay_.pool.acquire(endpoint.address, max_idle);
+    reused = connection_ != nullptr;
+    if (!connection_) {
+        base::result<std::unique_ptr<http::client_connection>> opened =
+            co_await http::client_connection::connect(executor, endpoint.address,
+                                                      std::min<base::duration>(connect_timeout, limit));
+        if (!opened) {
+            detail = opened.error().message;
+            co_return false;
+        }
+        connection_ = std::move(*opened);
+    }
+    co_return true;
+}
+
+void relay_attempt::send(http::request message, base::duration time_left) {
+    assert(connection_ != nullptr);
+    connection_->begin_send(std::move(message), time_left);
+}
+
+asio::awaitable<std::optional<relay::attempt_result>> relay_attempt::read_header(base::duration time_left) {
+    const base::result<http::response_header> received = co_await connection_->read_header(time_left);
+    if (!received) {
+        detail = received.error().message;
+        co_return received.error().code == base::error_code::timed_out ? relay::attempt_result::timed_out
+                                                                       : relay::attempt_result::broken;
+    }
+    header = relay_.protocol->read_response(*received);
+    if (header.load) {
+        relay_.balancer.update_load(endpoint.id, *header.load, now());
+    }
+    relay_.record_endpoint_wishes(endpoint.id, header);
+    if (relay::is_refusal_of(header, request_, !reused)) {
+        detail = "status " + std::to_string(header.status);
+        const base::duration limit = std::min<base::duration>(max_refusal_body_time, time_left);
+        const base::result<std::string> rest =
+            co_await http::read_body(*connection_, limit, max_response_bytes);
+        detail += rest ? "" : ", " + rest.error().message;
+        co_return relay::attempt_result::declined;
+    }
+    if (!relay::is_response_to(header, request_)) {
+        close();
+        detail = "status " + std::to_string(header.status) + " does not belong to this request (for '" +
+                 (header.request_id ? header.request_id->text() : std::string()) + "')";
+        telemetry::log(telemetry::log_event::crossed_answer,
+                       {{"request", request_.text()}, {"endpoint", endpoint.id.text()}, {"detail", detail}});
+        co_return relay::attempt_result::broken;
+    }
+    co_return std::nullopt;
+}
+
+bool relay_attempt::is_stream() const {
+    return header.is_event_stream && header.status < min_redirection_status;
+}
+
+asio::awaitable<base::result<void>> relay_attempt::read_events(base::duration time_left) {
+    const base::result<std::string> chunk = co_await connection_->read_some(time_left);
+    if (!chunk) {
+        co_return tl::unexpected<base::error>(chunk.error());
+    }
+    stream_ended = chunk->empty();
+    splitter_.append(*chunk);
+    while (std::optional<relay::stream_event> next = splitter_.next()) {
+        events.bytes += next->bytes;
+        events.last_id = next->id ? next->id : events.last_id;
+    }
+    co_return base::result<void>();
+}
+
+asio::awaitable<base::result<std::string>> relay_attempt::read_body(base::duration time_left) {
+    co_return co_await http::read_body(*connection_, time_left, max_response_bytes);
+}
+
+void relay_attempt::close() {
+    if (connection_) {
+        connection_->close();
+    }
+}
+
+void relay_attempt::release() {
+    if (connection_ && connection_->reusable()) {
+        relay_.pool.release(std::move(connection_));
+    } else {
+        close();
+    }
+}
+
+} // namespace rattanbay::daemon::internal
