Report each request whose connection ends unanswered

A connection that ended after a request had arrived, in whole or in part, and before its answer was complete left no log line, so that such a request could not be traced.

The server now reports each of them to a handler that is passed to server::listen, with the reason, the bytes of the answer that were written and the time since the last byte of the request. The daemon logs it as 5010 request_unanswered; the identifier in the line is cut at 128 bytes.

--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -166,8 +166,9 @@
 
     base::result<void> listen(std::shared_ptr<http::server>& server, const base::address& address,
                               http::request_handler handle, http::server_limits limits) {
-        base::result<std::shared_ptr<http::server>> bound =
-            http::server::listen(context_, address, std::move(handle), rejection_response, limits);
+        base::result<std::shared_ptr<http::server>> bound = http::server::listen(
+            context_, address, std::move(handle), rejection_response, limits,
+            [this](const http::unanswered_request& request) { log_unanswered(request); });
         if (!bound) {
             return tl::unexpected<base::error>(bound.error());
         }
@@ -175,6 +176,31 @@
         return {};
     }
 
+    /// Identifier of a request that was read completely, at most as long as a log line may hold; empty if it
+    /// has none.
+    std::string loggable_id(const http::request& message) const {
+        constexpr std::size_t max_id_bytes = 128;
+        std::string id = message.fields.find("X-Request-Id").value_or("");
+        if (shared_.relay) {
+            const base::result<relay::client_request> parsed = shared_.relay->protocol->read_request(message);
+            id = parsed ? parsed->id.text() : std::string();
+        }
+        return id.substr(0, max_id_bytes);
+    }
+
+    void log_unanswered(const http::unanswered_request& request) const {
+        telemetry::log(
+            telemetry::log_event::request_unanswered,
+            {{"request", request.message != nullptr ? loggable_id(*request.message) : std::string()},
+             {"connection", std::to_string(request.connection_id)},
+             {"reason", std::string(base::to_name(request.reason))},
+             {"complete", request.message != nullptr ? "true" : "false"},
+             {"since_last_byte_ms", std::to_string(base::to_milliseconds(request.since_last_byte))},
+             {"sent_bytes", std::to_string(request.sent_bytes)},
+             {"draining", shared_.draining.load() ? "true" : "false"},
+             {"detail", request.detail}});
+    }
+
     base::result<void> listen_for_relay() {
         relay_handler_ = std::make_unique<internal::relay_handler>(shared_, control_plane_->pieces(),
                                                                    control_plane_->quarantine());
--- a/packages/http/include/rattanbay/http.hpp
+++ b/packages/http/include/rattanbay/http.hpp
@@ -7,8 +7,10 @@
 /// - connection_pool.hpp: pool of idle client connections
 /// - message.hpp: requests, responses and header fields
 /// - server.hpp: listener, connections and their limits
+/// - unanswered_request.hpp: report of a request whose connection ended without a complete response
 
 #include <rattanbay/http/client_connection.hpp>
 #include <rattanbay/http/connection_pool.hpp>
 #include <rattanbay/http/message.hpp>
 #include <rattanbay/http/server.hpp>
+#include <rattanbay/http/unanswered_request.hpp>
--- a/packages/http/include/rattanbay/http/server.hpp
+++ b/packages/http/include/rattanbay/http/server.hpp
@@ -3,6 +3,7 @@
 #include <rattanbay/base/error.hpp>
 #include <rattanbay/base/time.hpp>
 #include <rattanbay/http/message.hpp>
+#include <rattanbay/http/unanswered_request.hpp>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -88,12 +89,11 @@
 /// Listens on one address and serves HTTP/1.1 with keep-alive, each connection on its own strand.
 class server : public std::enable_shared_from_this<server> {
 public:
-    /// Binds the address and starts accepting connections. Error: `unavailable` when the address cannot
-    /// be bound.
-    static base::result<std::shared_ptr<server>> listen(asio::io_context& context,
-                                                        const base::address& address,
-                                                        request_handler handle_request,
-                                                        rejection_handler reject, server_limits limits);
+    /// Binds the address and starts accepting connections. `on_unanswered` may be empty. Error: `unavailable`
+    /// when the address cannot be bound.
+    static base::result<std::shared_ptr<server>>
+    listen(asio::io_context& context, const base::address& address, request_handler handle_request,
+           rejection_handler reject, server_limits limits, unanswered_handler on_unanswered = {});
 
     virtual ~server() = default;
 
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -1,5 +1,4 @@
-#include "internal/disconnect_monitor.hpp"
-#include "internal/peer_close.hpp"
+#include "internal/beast_responder.hpp"
 #include "internal/read_timeout.hpp"
 
 #include <rattanbay/base/snapshot.hpp>
@@ -28,17 +27,9 @@
 namespace beast = boost::beast;
 using boost::system::error_code;
 using tcp = asio::ip::tcp;
-using internal::disconnect_monitor;
+using internal::beast_responder;
 using internal::read_timeout;
 
-constexpr int http_1_1 = 11;
-
-base::error write_error(const error_code& ec) {
-    const base::error_code code =
-        ec == beast::error::timeout ? base::error_code::timed_out : base::error_code::connection_broken;
-    return base::error{code, "write to the client: " + ec.message()};
-}
-
 /// Maps a read error to the error passed to the callback that builds the response; empty if the client has
 /// disconnected and cannot receive a response.
 std::optional<base::error> rejection_error(const error_code& ec) {
@@ -59,131 +50,6 @@
     return std::nullopt;
 }
 
-class beast_responder final : public responder {
-public:
-    beast_responder(beast::tcp_stream& stream, beast::flat_buffer& buffer, base::duration write_timeout,
-                    bool keep_alive, std::uint64_t connection_id)
-        : stream_(stream)
-        , buffer_(buffer)
-        , write_timeout_(write_timeout)
-        , keep_alive_(keep_alive)
-        , connection_id_(connection_id) {}
-
-    void on_disconnect(std::function<void()> callback) override {
-        assert(!disconnect_monitor_);
-        disconnect_monitor_ = std::make_shared<disconnect_monitor>(stream_, buffer_);
-        disconnect_monitor_->start(std::move(callback));
-    }
-
-    bool is_disconnected() override { return internal::is_closed_by_peer(stream_.socket()); }
-
-    void close_after_response() override { keep_alive_ = false; }
-
-    /// Stops the monitoring that `on_disconnect` started.
-    asio::awaitable<void> stop_disconnect_monitor() {
-        if (disconnect_monitor_) {
-            co_await disconnect_monitor_->stop();
-        }
-    }
-
-    asio::awaitable<base::result<void>> send(response message) override {
-        assert(!started_);
-        started_ = true;
-        beast::http::response<beast::http::string_body> out;
-        out.version(http_1_1);
-        out.result(static_cast<unsigned>(message.status));
-        out.keep_alive(keep_alive_);
-        for (const field& entry : message.fields.list()) {
-            out.insert(entry.name, entry.value);
-        }
-        out.body() = std::move(message.body);
-        out.prepare_payload();
-        error_code ec;
-        stream_.expires_after(write_timeout_);
-        co_await beast::http::async_write(stream_, out, asio::redirect_error(asio::use_awaitable, ec));
-        complete_ = !ec;
-        co_return to_result(ec);
-    }
-
-    asio::awaitable<base::result<void>> begin_stream(response_header header) override {
-        assert(!started_);
-        started_ = true;
-        beast::http::response<beast::http::empty_body> out;
-        out.version(http_1_1);
-        out.result(static_cast<unsigned>(header.status));
-        out.keep_alive(keep_alive_);
-        out.chunked(true);
-        for (const field& entry : header.fields.list()) {
-            out.insert(entry.name, entry.value);
-        }
-        beast::http::response_serializer<beast::http::empty_body> serializer(out);
-        error_code ec;
-        stream_.expires_after(write_timeout_);
-        co_await beast::http::async_write_header(stream_, serializer,
-                                                 asio::redirect_error(asio::use_awaitable, ec));
-        co_return to_result(ec);
-    }
-
-    asio::awaitable<base::result<void>> write(std::string data) override {
-        assert(started_ && !data.empty());
-        error_code ec;
-        stream_.expires_after(write_timeout_);
-        co_await asio::async_write(stream_, beast::http::make_chunk(asio::buffer(data)),
-                                   asio::redirect_error(asio::use_awaitable, ec));
-        co_return to_result(ec);
-    }
-
-    asio::awaitable<base::result<void>> end_stream() override {
-        assert(started_);
-        error_code ec;
-        stream_.expires_after(write_timeout_);
-        co_await asio::async_write(stream_, beast::http::make_chunk_last(),
-                                   asio::redirect_error(asio::use_awaitable, ec));
-        complete_ = !ec;
-        co_return to_result(ec);
-    }
-
-    void abort() override {
-        complete_ = false;
-        error_code ignored;
-        stream_.socket().close(ignored);
-    }
-
-    bool started() const override { return started_; }
-
-    asio::awaitable<base::result<void>> write_raw(std::string bytes) override {
-        started_ = true;
-        complete_ = false;
-        error_code ec;
-        stream_.expires_after(write_timeout_);
-        co_await asio::async_write(stream_, asio::buffer(bytes),
-                                   asio::redirect_error(asio::use_awaitable, ec));
-        co_return to_result(ec);
-    }
-
-    std::uint64_t connection_id() const override { return connection_id_; }
-
-    /// Whether a complete response was sent and the connection can carry another request.
-    bool reusable() const { return complete_ && keep_alive_; }
-
-private:
-    static base::result<void> to_result(const error_code& ec) {
-        if (ec) {
-            return tl::unexpected<base::error>(write_error(ec));
-        }
-        return {};
-    }
-
-    beast::tcp_stream& stream_;
-    beast::flat_buffer& buffer_;
-    base::duration write_timeout_;
-    bool keep_alive_;
-    std::uint64_t connection_id_;
-    std::shared_ptr<disconnect_monitor> disconnect_monitor_;
-    bool started_ = false;
-    bool complete_ = false;
-};
-
 class beast_server;
 
 /// One accepted connection.
@@ -213,22 +79,28 @@
                                              const server_limits& limits);
     asio::awaitable<void> reject(const base::error& reason);
     asio::awaitable<bool> serve(request message, bool keep_alive);
+    void report(unanswered_request request) const;
+    void report_partial(const error_code& ec) const;
+    void commit_received(std::size_t bytes);
 
     beast::tcp_stream stream_;
     std::shared_ptr<beast_server> server_;
     std::uint64_t id_;
     beast::flat_buffer buffer_;
     bool request_active_ = false;
+    /// Time at which bytes of the current request were last read.
+    std::chrono::steady_clock::time_point last_byte_;
 };
 
 class beast_server final : public server {
 public:
     beast_server(asio::io_context& context, request_handler handle_request, rejection_handler reject,
-                 server_limits limits)
+                 server_limits limits, unanswered_handler on_unanswered)
         : context_(context)
         , acceptor_(asio::make_strand(context))
         , request_handler_(std::move(handle_request))
         , rejection_handler_(std::move(reject))
+        , unanswered_handler_(std::move(on_unanswered))
         , limits_(std::make_shared<server_limits>(limits)) {}
 
     error_code bind(const base::address& address) {
@@ -294,6 +166,12 @@
 
     const rejection_handler& on_rejection() const { return rejection_handler_; }
 
+    void report(const unanswered_request& request) const {
+        if (unanswered_handler_) {
+            unanswered_handler_(request);
+        }
+    }
+
     void request_started() { open_requests_.fetch_add(1); }
 
     void request_ended() { open_requests_.fetch_sub(1); }
@@ -340,6 +218,7 @@
     tcp::acceptor acceptor_;
     request_handler request_handler_;
     rejection_handler rejection_handler_;
+    unanswered_handler unanswered_handler_;
     base::snapshot<server_limits> limits_;
     std::atomic<bool> shutting_down_{false};
     std::atomic<bool> keep_alive_{true};
@@ -350,6 +229,28 @@
     std::map<const session*, std::weak_ptr<session>> sessions_;
 };
 
+void session::commit_received(std::size_t bytes) {
+    buffer_.commit(bytes);
+    last_byte_ = std::chrono::steady_clock::now();
+}
+
+void session::report(unanswered_request request) const {
+    request.connection_id = id_;
+    request.since_last_byte =
+        std::chrono::duration_cast<base::duration>(std::chrono::steady_clock::now() - last_byte_);
+    server_->report(request);
+}
+
+void session::report_partial(const error_code& ec) const {
+    unanswered_request request;
+    const bool closed = ec == beast::http::error::end_of_stream ||
+                        ec == beast::http::error::partial_message || ec == asio::error::connection_reset ||
+                        ec == asio::error::eof;
+    request.reason = closed ? unanswered_reason::client_closed : unanswered_reason::read_failed;
+    request.detail = ec.message();
+    report(std::move(request));
+}
+
 asio::awaitable<error_code> session::wait_for_first_byte() {
     constexpr std::size_t read_bytes = 4096;
     error_code ec;
@@ -357,7 +258,7 @@
         stream_.expires_after(server_->limits().idle_timeout);
         const std::size_t size = co_await stream_.async_read_some(
             buffer_.prepare(read_bytes), asio::redirect_error(asio::use_awaitable, ec));
-        buffer_.commit(size);
+        commit_received(size);
     }
     co_return ec;
 }
@@ -384,7 +285,7 @@
         }
         const std::size_t size = co_await stream_.async_read_some(
             buffer_.prepare(read_bytes), asio::redirect_error(asio::use_awaitable, ec));
-        buffer_.commit(size);
+        commit_received(size);
     }
     co_return ec == asio::error::eof ? error_code(beast::http::error::partial_message) : ec;
 }
@@ -402,7 +303,11 @@
         co_return ec;
     }
     read_timeout body_timeout(stream_, limits.body_timeout);
-    co_await beast::http::async_read(stream_, buffer_, parser, asio::redirect_error(asio::use_awaitable, ec));
+    while (!ec && !parser.is_done()) {
+        co_await beast::http::async_read_some(stream_, buffer_, parser,
+                                              asio::redirect_error(asio::use_awaitable, ec));
+        last_byte_ = ec ? last_byte_ : std::chrono::steady_clock::now();
+    }
     co_return co_await body_timeout.finish(ec);
 }
 
@@ -410,6 +315,10 @@
     beast_responder out(stream_, buffer_, server_->limits().write_timeout, false, id_);
     response message = server_->on_rejection()(reason);
     co_await out.send(std::move(message));
+    const std::optional<unanswered_request> unanswered = out.unanswered();
+    if (unanswered) {
+        report(*unanswered);
+    }
     // Discards input until the client closes its side: closing the socket with unread input would reset
     // the connection, and the client could lose the response.
     error_code ec;
@@ -431,6 +340,11 @@
     co_await server_->on_request()(message, out);
     co_await out.stop_disconnect_monitor();
     server_->request_ended();
+    std::optional<unanswered_request> unanswered = out.unanswered();
+    if (unanswered) {
+        unanswered->message = &message;
+        report(*unanswered);
+    }
     co_return out.reusable();
 }
 
@@ -449,6 +363,8 @@
             const std::optional<base::error> reason = rejection_error(ec);
             if (reason) {
                 co_await reject(*reason);
+            } else {
+                report_partial(ec);
             }
             break;
         }
@@ -474,9 +390,9 @@
 
 base::result<std::shared_ptr<server>> server::listen(asio::io_context& context, const base::address& address,
                                                      request_handler handle_request, rejection_handler reject,
-                                                     server_limits limits) {
-    const std::shared_ptr<beast_server> instance =
-        std::make_shared<beast_server>(context, std::move(handle_request), std::move(reject), limits);
+                                                     server_limits limits, unanswered_handler on_unanswered) {
+    const std::shared_ptr<beast_server> instance = std::make_shared<beast_server>(
+        context, std::move(handle_request), std::move(reject), limits, std::move(on_unanswered));
     const error_code ec = instance->bind(address);
     if (ec) {
         return base::fail(base::error_code::unavailable, "listen on " + address.text() + ": " + ec.message());
--- a/packages/http/test/loopback.hpp
+++ b/packages/http/test/loopback.hpp
@@ -14,11 +14,12 @@
 /// A server on a free loopback port that runs on its own thread, and a client for it.
 struct loopback_server {
     loopback_server(rattanbay::http::request_handler handle_request,
-                    rattanbay::http::rejection_handler reject, rattanbay::http::server_limits server_limits)
+                    rattanbay::http::rejection_handler reject, rattanbay::http::server_limits server_limits,
+                    rattanbay::http::unanswered_handler on_unanswered = {})
         : address(free_address())
         , work(boost::asio::make_work_guard(context)) {
         server = rattanbay::http::server::listen(context, address, std::move(handle_request),
-                                                 std::move(reject), server_limits)
+                                                 std::move(reject), server_limits, std::move(on_unanswered))
                      .value();
         thread = std::thread([this]() { context.run(); });
     }
--- a/packages/telemetry/include/rattanbay/telemetry/log_event.hpp
+++ b/packages/telemetry/include/rattanbay/telemetry/log_event.hpp
@@ -48,6 +48,7 @@
     piece_scheduler_unreachable = 5007,
     piece_call_ended = 5008,
     piece_stage_failed = 5009,
+    request_unanswered = 5010,
     ledger_rotated = 6001,
     record_unavailable = 6002,
     owner_sealed = 6003,
@@ -72,7 +73,7 @@
 };
 
 /// All log events, ordered by number.
-constexpr std::array<log_event_info, 51> log_events{{
+constexpr std::array<log_event_info, 52> log_events{{
     {log_event::daemon_started, log_level::info, "The daemon listens on all its addresses."},
     {log_event::daemon_draining, log_level::info, "A planned stop began; the daemon leaves the entry lists."},
     {log_event::daemon_stopped, log_level::info, "The planned stop ended; no request was left open."},
@@ -131,6 +132,8 @@
     {log_event::piece_call_ended, log_level::info, "A call to a worker pool was answered."},
     {log_event::piece_stage_failed, log_level::info,
      "The scheduler of a worker pool gave up a stage of a request."},
+    {log_event::request_unanswered, log_level::info,
+     "A connection ended before a request that was read, in whole or in part, was answered completely."},
     {log_event::ledger_rotated, log_level::warning,
      "The ledger was sealed by another VM; a new one was started."},
     {log_event::record_unavailable, log_level::warning, "The ledger's record cannot be written."},
@@ -167,7 +170,7 @@
 };
 
 template <> struct rattanbay::base::enum_names<rattanbay::telemetry::log_event> {
-    static constexpr std::array<enum_name<telemetry::log_event>, 51> table{{
+    static constexpr std::array<enum_name<telemetry::log_event>, 52> table{{
         {telemetry::log_event::daemon_started, "daemon_started"},
         {telemetry::log_event::daemon_draining, "daemon_draining"},
         {telemetry::log_event::daemon_stopped, "daemon_stopped"},
@@ -205,6 +208,7 @@
         {telemetry::log_event::piece_scheduler_unreachable, "piece_scheduler_unreachable"},
         {telemetry::log_event::piece_call_ended, "piece_call_ended"},
         {telemetry::log_event::piece_stage_failed, "piece_stage_failed"},
+        {telemetry::log_event::request_unanswered, "request_unanswered"},
         {telemetry::log_event::ledger_rotated, "ledger_rotated"},
         {telemetry::log_event::record_unavailable, "record_unavailable"},
         {telemetry::log_event::owner_sealed, "owner_sealed"},
