Answer a request whose handler throws an exception

An exception that escaped a handler ended the connection's coroutine silently: the client saw its connection close with no answer, nothing was logged, the request stayed counted as open (a planned stop waits for it until its end), the connection stayed listed, and a read that watched for the client's close went on with the connection's freed buffer.

The server now answers 500 (problem internal_error, outcome unknown: nothing is known about what ran), closes the connection and reports the request with reason handler_failed; a stream that had begun is truncated. An exception outside a handler is reported too and ends only its connection.

On the code before: an_exception_in_a_handler_is_answered fails with an empty answer and no report, an_exception_in_a_stream_truncates_it with no report.

--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -60,7 +60,10 @@
 }
 
 http::response rejection_response(const base::error& error) {
-    telemetry::log(telemetry::log_event::request_rejected, {{"detail", error.message}});
+    // The failure of a handler is logged as an unanswered request.
+    if (error.code != base::error_code::unavailable) {
+        telemetry::log(telemetry::log_event::request_rejected, {{"detail", error.message}});
+    }
     return caller::problem_response(caller::rejection_problem(error), {});
 }
 
--- a/packages/http/include/rattanbay/http/server.hpp
+++ b/packages/http/include/rattanbay/http/server.hpp
@@ -83,7 +83,9 @@
 using request_handler = std::function<asio::awaitable<void>(const request&, responder&)>;
 
 /// Builds the response to a request that the server rejects without calling the request handler.
-/// The error is `exhausted` (too large), `timed_out` (too slow) or `invalid_input` (malformed).
+/// The error is `exhausted` (too large), `timed_out` (too slow) or `invalid_input` (malformed). It is
+/// `unavailable` for a request whose handler threw an exception before it had begun to respond; whether that
+/// request has run is unknown.
 using rejection_handler = std::function<response(const base::error&)>;
 
 /// Listens on one address and serves HTTP/1.1 with keep-alive, each connection on its own strand.
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -50,6 +50,12 @@
     return std::nullopt;
 }
 
+/// Error passed to the callback that builds the response to a request whose handler threw an exception. What
+/// the exception says is logged, not sent.
+base::error handler_error() {
+    return base::error{base::error_code::unavailable, "the request handler failed"};
+}
+
 class beast_server;
 
 /// One accepted connection.
@@ -60,6 +66,7 @@
         , server_(std::move(server))
         , id_(id) {}
 
+    /// Serves requests until the connection ends.
     asio::awaitable<void> run();
 
     /// Closes the connection unless a request is being handled.
@@ -73,6 +80,7 @@
     asio::any_io_executor executor() { return stream_.get_executor(); }
 
 private:
+    asio::awaitable<void> serve_requests();
     asio::awaitable<error_code> wait_for_first_byte();
     asio::awaitable<error_code> read_header(std::size_t max_bytes);
     asio::awaitable<error_code> read_request(beast::http::request_parser<beast::http::string_body>& parser,
@@ -337,19 +345,34 @@
 asio::awaitable<bool> session::serve(request message, bool keep_alive) {
     beast_responder out(stream_, buffer_, server_->limits().write_timeout, keep_alive, id_);
     server_->request_started();
-    co_await server_->on_request()(message, out);
+    std::optional<std::string> failure;
+    try {
+        co_await server_->on_request()(message, out);
+    } catch (const std::exception& error) {
+        failure = error.what();
+    }
+    // Also after an exception: the monitor refers to this connection's stream and buffer.
     co_await out.stop_disconnect_monitor();
+    if (failure && !out.started()) {
+        out.close_after_response();
+        response answer = server_->on_rejection()(handler_error());
+        co_await out.send(std::move(answer));
+    }
     server_->request_ended();
     std::optional<unanswered_request> unanswered = out.unanswered();
+    if (failure) {
+        unanswered = unanswered.value_or(unanswered_request{});
+        unanswered->reason = unanswered_reason::handler_failed;
+        unanswered->detail = *failure;
+    }
     if (unanswered) {
         unanswered->message = &message;
         report(*unanswered);
     }
-    co_return out.reusable();
+    co_return !failure && out.reusable();
 }
 
-asio::awaitable<void> session::run() {
-    const std::shared_ptr<session> self = shared_from_this();
+asio::awaitable<void> session::serve_requests() {
     bool open = true;
     while (open) {
         error_code ec = co_await wait_for_first_byte();
@@ -380,6 +403,18 @@
         request_active_ = false;
         open = reusable && !server_->shutting_down();
     }
+}
+
+asio::awaitable<void> session::run() {
+    const std::shared_ptr<session> self = shared_from_this();
+    try {
+        co_await serve_requests();
+    } catch (const std::exception& error) {
+        unanswered_request request;
+        request.reason = unanswered_reason::read_failed;
+        request.detail = error.what();
+        report(std::move(request));
+    }
     error_code ignored;
     stream_.socket().shutdown(tcp::socket::shutdown_both, ignored);
     stream_.socket().close(ignored);
--- a/packages/http/test/unanswered_request_test.cpp
+++ b/packages/http/test/unanswered_request_test.cpp
@@ -11,6 +11,7 @@
 
 #include <mutex>
 #include <optional>
+#include <stdexcept>
 
 namespace asio = boost::asio;
 namespace base = rattanbay::base;
@@ -19,8 +20,8 @@
 
 namespace {
 
-http::response reject_all(const base::error&) {
-    return http::json_response(400, "{}");
+http::response reject_all(const base::error& reason) {
+    return http::json_response(reason.code == base::error_code::unavailable ? 500 : 400, "{}");
 }
 
 /// What a report contained.
@@ -77,6 +78,16 @@
         out.abort();
         co_return;
     }
+    if (message.target == "/throw") {
+        out.on_disconnect([]() {});
+        throw std::runtime_error("thrown by the handler");
+    }
+    if (message.target == "/throw-late") {
+        http::response_header header;
+        header.status = 200;
+        co_await out.begin_stream(std::move(header));
+        throw std::runtime_error("thrown by the handler");
+    }
     if (message.target == "/slow") {
         asio::steady_timer timer(co_await asio::this_coro::executor, 200ms);
         co_await timer.async_wait(asio::use_awaitable);
@@ -150,4 +161,35 @@
     BOOST_TEST(log.size() == 0U);
 }
 
+// Guards against an exception in a handler that closes the connection with no answer, leaves the request
+// counted as open, so that a planned stop waits for it in vain, and leaves a read of the connection behind.
+BOOST_AUTO_TEST_CASE(an_exception_in_a_handler_is_answered) {
+    report_log log;
+    loopback_server fixture(serve, reject_all, {}, log.handler());
+    asio::io_context context;
+    asio::ip::tcp::socket client = connect_and_send(context, fixture.address, request_for("/throw"));
+    std::string answer;
+    boost::system::error_code ec;
+    asio::read(client, asio::dynamic_buffer(answer), ec);
+    BOOST_TEST(answer.starts_with("HTTP/1.1 500"), answer);
+    const std::optional<report> found = log.first();
+    BOOST_REQUIRE(found.has_value());
+    BOOST_TEST(base::to_name(found->reason) == "handler_failed");
+    std::this_thread::sleep_for(50ms);
+    BOOST_TEST(fixture.server->open_requests() == 0U);
+    BOOST_TEST(fixture.server->open_connections() == 0U);
+}
+
+// Guards against a truncated stream that looks complete because its handler failed midway.
+BOOST_AUTO_TEST_CASE(an_exception_in_a_stream_truncates_it) {
+    report_log log;
+    loopback_server fixture(serve, reject_all, {}, log.handler());
+    const base::result<http::response> response =
+        fixture.exchange(http::request{"GET", "/throw-late", {}, ""});
+    BOOST_TEST(!response.has_value());
+    const std::optional<report> found = log.first();
+    BOOST_REQUIRE(found.has_value());
+    BOOST_TEST(base::to_name(found->reason) == "handler_failed");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
