Keep the state of a read timeout for its queued handler

When a timer expired while its read completed, the timer's handler was queued. read_timeout::finish let one posted handler run and then assumed that the timer's had run too. On a strand the order is not given: the timer's handler could run after the end of the read_timeout and write to its memory and cancel the next operation of the connection.

The handler now shares its state and does nothing once the read has finished, and finish no longer waits.

The header and body timeouts use the same class, but a test of 300 headers that arrive with their timeout passes on the code before, so that it is not added.

--- a/packages/http/src/internal/read_timeout.hpp
+++ b/packages/http/src/internal/read_timeout.hpp
@@ -2,13 +2,12 @@
 
 #include <rattanbay/base/time.hpp>
 
-#include <boost/asio/awaitable.hpp>
-#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
+#include <memory>
+
 namespace rattanbay::http::internal {
 
 namespace asio = boost::asio;
@@ -20,29 +19,38 @@
 class read_timeout {
 public:
     read_timeout(beast::tcp_stream& stream, base::duration timeout)
-        : stream_(stream)
+        : state_(std::make_shared<state>())
         , timer_(stream.get_executor(), timeout) {
-        timer_.async_wait([this](const error_code& ec) {
-            if (!ec) {
-                expired_ = true;
-                stream_.cancel();
+        timer_.async_wait([&stream, state = state_](const error_code& ec) {
+            // The handler can be queued behind the completion of the read and then runs after `finish`.
+            if (!ec && !state->finished) {
+                state->expired = true;
+                stream.cancel();
             }
         });
     }
 
-    /// Stops the timer and returns the error of the operation, `timeout` if the timer expired.
-    asio::awaitable<error_code> finish(error_code ec) {
-        if (timer_.cancel() == 0 && !expired_) {
-            // The timer's handler is already queued and refers to this object, so let it run first.
-            co_await asio::post(stream_.get_executor(), asio::use_awaitable);
-        }
-        co_return expired_&& ec == asio::error::operation_aborted ? error_code(beast::error::timeout) : ec;
+    read_timeout(const read_timeout&) = delete;
+    read_timeout& operator=(const read_timeout&) = delete;
+
+    ~read_timeout() { state_->finished = true; }
+
+    /// Stops the timer and returns the error of the operation, `timeout` if the timer cancelled it.
+    error_code finish(error_code ec) {
+        state_->finished = true;
+        timer_.cancel();
+        return state_->expired && ec == asio::error::operation_aborted ? error_code(beast::error::timeout)
+                                                                       : ec;
     }
 
 private:
-    beast::tcp_stream& stream_;
+    struct state {
+        bool expired = false;
+        bool finished = false;
+    };
+
+    std::shared_ptr<state> state_;
     asio::steady_timer timer_;
-    bool expired_ = false;
 };
 
 } // namespace rattanbay::http::internal
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -306,7 +306,7 @@
     stream_.expires_never();
     read_timeout header_timeout(stream_, limits.header_timeout);
     error_code ec = co_await read_header(limits.max_header_bytes);
-    ec = co_await header_timeout.finish(ec);
+    ec = header_timeout.finish(ec);
     if (ec) {
         co_return ec;
     }
@@ -316,7 +316,7 @@
                                               asio::redirect_error(asio::use_awaitable, ec));
         last_byte_ = ec ? last_byte_ : std::chrono::steady_clock::now();
     }
-    co_return co_await body_timeout.finish(ec);
+    co_return body_timeout.finish(ec);
 }
 
 asio::awaitable<void> session::reject(const base::error& reason) {
