Answer requests that have arrived when a planned stop closes connections

shut_down closed the socket of each connection that was not handling a request. A request whose bytes were in the socket, or had been read while the continuation was still queued, lost its connection without an answer; in the second case it was even handled and could reach an endpoint. A kept connection whose answer had promised keep-alive was closed behind that answer with the next request unread.

A planned stop now only cancels the wait for a request. Bytes that were read count as arrived, and after a cancelled wait the socket is read once without waiting.

held_thread/a_request_that_arrived_before_a_shutdown_is_answered fails on the code before with an empty answer.

--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -69,11 +69,12 @@
     /// Serves requests until the connection ends.
     asio::awaitable<void> run();
 
-    /// Closes the connection unless a request is being handled.
+    /// Ends the wait for a request, if there is one. The socket stays open: a request that has arrived, or
+    /// whose bytes were read but not yet handled, is still answered.
     void close_if_idle() {
         if (!request_active_) {
             error_code ignored;
-            stream_.socket().close(ignored);
+            stream_.socket().cancel(ignored);
         }
     }
 
@@ -82,6 +83,8 @@
 private:
     asio::awaitable<void> serve_requests();
     asio::awaitable<error_code> wait_for_first_byte();
+    /// Reads what has arrived without waiting. Returns `ec` if there is nothing.
+    error_code take_arrived_bytes(error_code ec);
     asio::awaitable<error_code> read_header(std::size_t max_bytes);
     asio::awaitable<error_code> read_request(beast::http::request_parser<beast::http::string_body>& parser,
                                              const server_limits& limits);
@@ -259,14 +262,36 @@
     report(std::move(request));
 }
 
+error_code session::take_arrived_bytes(error_code ec) {
+    constexpr std::size_t read_bytes = 4096;
+    error_code read_error;
+    stream_.socket().non_blocking(true, read_error);
+    const std::size_t size = stream_.socket().receive(buffer_.prepare(read_bytes), 0, read_error);
+    if (read_error || size == 0) {
+        return ec;
+    }
+    commit_received(size);
+    return {};
+}
+
 asio::awaitable<error_code> session::wait_for_first_byte() {
     constexpr std::size_t read_bytes = 4096;
+    if (buffer_.size() > 0) {
+        co_return error_code();
+    }
+    if (server_->shutting_down()) {
+        co_return take_arrived_bytes(asio::error::operation_aborted);
+    }
     error_code ec;
-    if (buffer_.size() == 0) {
-        stream_.expires_after(server_->limits().idle_timeout);
-        const std::size_t size = co_await stream_.async_read_some(
-            buffer_.prepare(read_bytes), asio::redirect_error(asio::use_awaitable, ec));
+    stream_.expires_after(server_->limits().idle_timeout);
+    const std::size_t size = co_await stream_.async_read_some(buffer_.prepare(read_bytes),
+                                                              asio::redirect_error(asio::use_awaitable, ec));
+    if (!ec) {
         commit_received(size);
+    } else if (ec == asio::error::operation_aborted) {
+        // The read was cancelled by a planned stop. If the thread was held, the bytes of a request may have
+        // arrived before that and wait in the socket.
+        ec = take_arrived_bytes(ec);
     }
     co_return ec;
 }
@@ -401,7 +426,8 @@
         message.body = std::move(parser.get().body());
         const bool reusable = co_await serve(std::move(message), keep_alive);
         request_active_ = false;
-        open = reusable && !server_->shutting_down();
+        // During a planned stop, the wait for the next request takes only one that has arrived.
+        open = reusable;
     }
 }
 
--- /dev/null
+++ b/packages/http/test/held_thread_test.cpp
@@ -0,0 +1,101 @@
+#include "loopback.hpp"
+
+#include <rattanbay/http.hpp>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+
+namespace asio = boost::asio;
+namespace base = rattanbay::base;
+namespace http = rattanbay::http;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Time for which the server's thread is held while requests arrive.
+constexpr std::chrono::milliseconds hold_time{300};
+/// Time in which the server begins to hold its thread, and in which written bytes arrive.
+constexpr std::chrono::milliseconds arrival_time{50};
+
+const std::string get_request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+
+http::response reject(const base::error&) {
+    return http::json_response(400, "{}");
+}
+
+asio::awaitable<void> serve(const http::request&, http::responder& out) {
+    http::response response = http::json_response(200, "{}");
+    co_await out.send(std::move(response));
+}
+
+/// A client connection that has got one response and is idle.
+class kept_connection {
+public:
+    explicit kept_connection(const base::address& address)
+        : socket_(context_) {
+        socket_.connect({asio::ip::make_address_v4(address.ip), address.port});
+        send();
+        asio::read_until(socket_, asio::dynamic_buffer(received_), "{}");
+        received_.clear();
+    }
+
+    void send() { asio::write(socket_, asio::buffer(get_request)); }
+
+    /// Everything received until the response ends or the server closes the connection.
+    std::string receive() {
+        boost::system::error_code ec;
+        asio::read_until(socket_, asio::dynamic_buffer(received_), "{}", ec);
+        return received_;
+    }
+
+private:
+    asio::io_context context_;
+    asio::ip::tcp::socket socket_;
+    std::string received_;
+};
+
+void hold_thread(loopback_server& fixture, std::chrono::milliseconds time) {
+    // Expires before the requests arrive, so that the thread finds its timers expired before their sockets.
+    const std::shared_ptr<asio::steady_timer> timer =
+        std::make_shared<asio::steady_timer>(fixture.context, arrival_time / 2);
+    timer->async_wait([timer](const boost::system::error_code&) {});
+    asio::post(fixture.context, [time]() { std::this_thread::sleep_for(time); });
+    std::this_thread::sleep_for(arrival_time);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(held_thread)
+
+// Guards against a planned stop that closes a connection on which a request has arrived unread.
+BOOST_AUTO_TEST_CASE(a_request_that_arrived_before_a_shutdown_is_answered) {
+    loopback_server fixture(serve, reject, {});
+    kept_connection client(fixture.address);
+    hold_thread(fixture, hold_time);
+    client.send();
+    std::this_thread::sleep_for(arrival_time);
+    fixture.server->shut_down();
+    const std::string answer = client.receive();
+    BOOST_TEST(answer.starts_with("HTTP/1.1 200"), answer);
+    BOOST_TEST(answer.find("Connection: close") != std::string::npos);
+}
+
+// Guards against idle connections that outlive a planned stop or the idle timeout.
+BOOST_AUTO_TEST_CASE(idle_connections_are_closed) {
+    http::server_limits limits;
+    limits.idle_timeout = 100ms;
+    loopback_server timed(serve, reject, limits);
+    kept_connection idle(timed.address);
+    BOOST_TEST(idle.receive().empty());
+    loopback_server stopped(serve, reject, {});
+    kept_connection open(stopped.address);
+    stopped.server->shut_down();
+    BOOST_TEST(open.receive().empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
