Answer requests that have arrived when the idle timeout ends

The wait for a request used the timer of tcp_stream, which closes the socket. The event loop handles 128 sockets at a time and then all expired timers: when the thread was held for longer than the idle timeout and more sockets had become ready, idle connections were closed with a request in their socket, with no answer and no log line.

The wait now uses read_timeout, which leaves the socket open, and reads the socket once without waiting before the connection is closed.

--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -283,14 +283,16 @@
         co_return take_arrived_bytes(asio::error::operation_aborted);
     }
     error_code ec;
-    stream_.expires_after(server_->limits().idle_timeout);
+    stream_.expires_never();
+    read_timeout idle_timeout(stream_, server_->limits().idle_timeout);
     const std::size_t size = co_await stream_.async_read_some(buffer_.prepare(read_bytes),
                                                               asio::redirect_error(asio::use_awaitable, ec));
+    ec = idle_timeout.finish(ec);
     if (!ec) {
         commit_received(size);
-    } else if (ec == asio::error::operation_aborted) {
-        // The read was cancelled by a planned stop. If the thread was held, the bytes of a request may have
-        // arrived before that and wait in the socket.
+    } else if (ec == beast::error::timeout || ec == asio::error::operation_aborted) {
+        // The read was cancelled by the timer or by a planned stop. If the thread was held, the bytes of a
+        // request may have arrived before that and wait in the socket.
         ec = take_arrived_bytes(ec);
     }
     co_return ec;
--- a/packages/http/test/held_thread_test.cpp
+++ b/packages/http/test/held_thread_test.cpp
@@ -85,6 +85,30 @@
     BOOST_TEST(answer.find("Connection: close") != std::string::npos);
 }
 
+// Guards against an idle timeout that closes a connection on which a request has arrived unread. With this
+// many connections, the thread finds expired timers before it has seen all sockets.
+BOOST_AUTO_TEST_CASE(requests_that_arrived_before_the_idle_timeout_are_answered) {
+    constexpr std::size_t connections = 300;
+    // Longer than opening the connections takes on a busy machine.
+    constexpr std::chrono::milliseconds idle_time{2000};
+    http::server_limits limits;
+    limits.idle_timeout = idle_time;
+    loopback_server fixture(serve, reject, limits);
+    std::vector<std::unique_ptr<kept_connection>> clients;
+    for (std::size_t n = 0; n < connections; ++n) {
+        clients.push_back(std::make_unique<kept_connection>(fixture.address));
+    }
+    hold_thread(fixture, idle_time + hold_time);
+    for (const std::unique_ptr<kept_connection>& client : clients) {
+        client->send();
+    }
+    std::size_t answered = 0;
+    for (const std::unique_ptr<kept_connection>& client : clients) {
+        answered += client->receive().starts_with("HTTP/1.1 200") ? 1 : 0;
+    }
+    BOOST_TEST(answered == connections);
+}
+
 // Guards against idle connections that outlive a planned stop or the idle timeout.
 BOOST_AUTO_TEST_CASE(idle_connections_are_closed) {
     http::server_limits limits;
