--- a/packages/http/include/rattanbay/http/server.hpp
+++ b/packages/http/include/rattanbay/http/server.hpp
@@ -3,6 +3,7 @@
 #include <rattanbay/base/error.hpp>
 #include <rattanbay/base/time.hpp>
 #include <rattanbay/http/message.hpp>
+#include <rattanbay/http/unanswered_request.hpp>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -82,18 +83,19 @@
 using request_handler = std::function<asio::awaitable<void>(const request&, responder&)>;
 
 /// Builds the response to a request that the server rejects without calling the request handler.
-/// The error is `exhausted` (too large), `timed_out` (too slow) or `invalid_input` (malformed).
+/// The error is `exhausted` (too large), `timed_out` (too slow) or `invalid_input` (malformed). It is
+/// `unavailable` for a request whose handler threw an exception before it had begun to respond; whether that
+/// request has run is unknown.
 using rejection_handler = std::function<response(const base::error&)>;
 
 /// Listens on one address and serves HTTP/1.1 with keep-alive, each connection on its own strand.
 class server : public std::enable_shared_from_this<server> {
 public:
-    /// Binds the address and starts accepting connections. Error: `unavailable` when the address cannot
-    /// be bound.
-    static base::result<std::shared_ptr<server>> listen(asio::io_context& context,
-                                                        const base::address& address,
-                                                        request_handler handle_request,
-                                                        rejection_handler reject, server_limits limits);
+    /// Binds the address and starts accepting connections. `on_unanswered` may be empty. Error: `unavailable`
+    /// when the address cannot be bound.
+    static base::result<std::shared_ptr<server>>
+    listen(asio::io_context& context, const base::address& address, request_handler handle_request,
+           rejection_handler reject, server_limits limits, unanswered_handler on_unanswered = {});
 
     virtual ~server() = default;
 
--- a/packages/telemetry/include/rattanbay/telemetry/log_event.hpp
+++ b/packages/telemetry/include/rattanbay/telemetry/log_event.hpp
@@ -48,6 +48,7 @@
     piece_scheduler_unreachable = 5007,
     piece_call_ended = 5008,
     piece_stage_failed = 5009,
+    request_unanswered = 5010,
     relay_attempt_silent = 5011,
     relay_replacement_started = 5012,
     ledger_rotated = 6001,
@@ -74,7 +75,7 @@
 };
 
 /// All log events, ordered by number.
-constexpr std::array<log_event_info, 53> log_events{{
+constexpr std::array<log_event_info, 54> log_events{{
     {log_event::daemon_started, log_level::info, "The daemon listens on all its addresses."},
     {log_event::daemon_draining, log_level::info, "A planned stop began; the daemon leaves the entry lists."},
     {log_event::daemon_stopped, log_level::info, "The planned stop ended; no request was left open."},
@@ -133,6 +134,8 @@
     {log_event::piece_call_ended, log_level::info, "A call to a worker pool was answered."},
     {log_event::piece_stage_failed, log_level::info,
      "The scheduler of a worker pool gave up a stage of a request."},
+    {log_event::request_unanswered, log_level::info,
+     "A connection ended before a request that was read, in whole or in part, was answered completely."},
     {log_event::relay_attempt_silent, log_level::info,
      "An endpoint is silent; the line names whether a replacement is begun, or why not."},
     {log_event::relay_replacement_started, log_level::info,
@@ -173,7 +176,7 @@
 };
 
 template <> struct rattanbay::base::enum_names<rattanbay::telemetry::log_event> {
-    static constexpr std::array<enum_name<telemetry::log_event>, 53> table{{
+    static constexpr std::array<enum_name<telemetry::log_event>, 54> table{{
         {telemetry::log_event::daemon_started, "daemon_started"},
         {telemetry::log_event::daemon_draining, "daemon_draining"},
         {telemetry::log_event::daemon_stopped, "daemon_stopped"},
@@ -211,6 +214,7 @@
         {telemetry::log_event::piece_scheduler_unreachable, "piece_scheduler_unreachable"},
         {telemetry::log_event::piece_call_ended, "piece_call_ended"},
         {telemetry::log_event::piece_stage_failed, "piece_stage_failed"},
+        {telemetry::log_event::request_unanswered, "request_unanswered"},
         {telemetry::log_event::relay_attempt_silent, "relay_attempt_silent"},
         {telemetry::log_event::relay_replacement_started, "relay_replacement_started"},
         {telemetry::log_event::ledger_rotated, "ledger_rotated"},
