Keep what a replacement needs until the whole answer is there

Found in review, by reading: a plain answer ended the other attempt at its header, so that a body that broke off lost both answers; a refusal of the replacement freed inputs that the first endpoint could still be fetching; a replacement that was sent and not answered by the deadline was not counted as one that may have run, so the client was told 'not run'; and an exception in the request left the replacement with a reference to the responder.

A plain answer now counts once its body is whole, inputs are freed only when no other attempt is open, a sent replacement counts as one that may have run, and the request's resources are released at the end of its scope. A prompt part's trial is asked for after what needs none.

--- a/packages/daemon/src/internal/relay_attempt.hpp
+++ b/packages/daemon/src/internal/relay_attempt.hpp
@@ -46,8 +46,8 @@
     /// Reads more of a stream and adds its complete events to `events`.
     asio::awaitable<base::result<void>> read_events(base::duration time_left);
 
-    /// Reads the rest of a response that is not a stream.
-    asio::awaitable<base::result<std::string>> read_body(base::duration time_left);
+    /// Reads the whole body of a response that is not a stream into `body`, unless it was read already.
+    asio::awaitable<base::result<void>> read_body(base::duration time_left);
 
     /// Whether the stream ended inside an event.
     bool has_partial_event() const { return splitter_.has_partial_event(); }
@@ -66,11 +66,15 @@
     event_batch events;
     /// Whether the stream was read to its end.
     bool stream_ended = false;
+    /// Body of a response that is not a stream, once all of it was read.
+    std::optional<std::string> body;
     /// Time to the response or the first event.
     std::optional<base::duration> first_byte;
     /// Reason of a failure, for the log.
     std::string detail;
     bool reused = false;
+    /// Whether the request was handed to the connection, so that the endpoint may run it.
+    bool sent = false;
     /// Whether the response of another attempt is forwarded instead.
     bool replaced = false;
     /// Whether the request was ended or goes on at another attempt before this one responded.
--- a/packages/daemon/src/internal/relay_run.hpp
+++ b/packages/daemon/src/internal/relay_run.hpp
@@ -59,6 +59,8 @@
     /// Whether a part of the prompt is quarantined, so that the request may not be sent (again).
     bool is_quarantined();
     void schedule_input_release();
+    /// Ends all that runs beside the request, at its end.
+    void release_resources();
     std::shared_ptr<input_stages> make_stages();
     asio::awaitable<bool> prepare_inputs(http::responder& out);
     /// Produces the inputs again if they were released or have expired. Returns whether they exist.
@@ -88,6 +90,7 @@
     /// repeated.
     std::optional<base::duration> silence_limit(const relay_attempt& current) const;
     void watch_silence();
+    void stop_watch();
     /// Ends the watch for silence and cancels a replacement, as the attempt goes on.
     void handle_progress();
     replacement_decision decide_replacement();
--- a/packages/daemon/src/relay_attempt.cpp
+++ b/packages/daemon/src/relay_attempt.cpp
@@ -48,6 +48,7 @@
 
 void relay_attempt::send(http::request message, base::duration time_left) {
     assert(connection_ != nullptr);
+    sent = true;
     connection_->begin_send(std::move(message), time_left);
 }
 
@@ -100,8 +101,15 @@
     co_return base::result<void>();
 }
 
-asio::awaitable<base::result<std::string>> relay_attempt::read_body(base::duration time_left) {
-    co_return co_await http::read_body(*connection_, time_left, max_response_bytes);
+asio::awaitable<base::result<void>> relay_attempt::read_body(base::duration time_left) {
+    if (!body) {
+        base::result<std::string> read = co_await http::read_body(*connection_, time_left, max_response_bytes);
+        if (!read) {
+            co_return tl::unexpected<base::error>(read.error());
+        }
+        body = std::move(*read);
+    }
+    co_return base::result<void>();
 }
 
 void relay_attempt::close() {
--- a/packages/daemon/src/relay_replacement.cpp
+++ b/packages/daemon/src/relay_replacement.cpp
@@ -60,9 +60,13 @@
         });
 }
 
-void relay_run::handle_progress() {
+void relay_run::stop_watch() {
     ++progress_;
     silence_timer_.cancel();
+}
+
+void relay_run::handle_progress() {
+    stop_watch();
     cancel_replacement();
 }
 
@@ -73,12 +77,13 @@
     if (!can_have_inputs()) {
         return replacement_decision::no_time;
     }
-    if (is_quarantined()) {
-        return replacement_decision::quarantined;
-    }
     if (!choose_endpoint()) {
         return replacement_decision::no_endpoint;
     }
+    // This may begin a trial of a prompt part, so it is asked after what needs no trial.
+    if (is_quarantined()) {
+        return replacement_decision::quarantined;
+    }
     return spend_resend() ? replacement_decision::begun : replacement_decision::no_budget;
 }
 
@@ -163,7 +168,11 @@
         current.detail = "status " + std::to_string(current.header.status);
         co_return relay::attempt_result::answered_with_failure;
     }
-    while (current.is_stream() && current.events.bytes.empty() && !current.stream_ended) {
+    if (!current.is_stream()) {
+        const base::result<void> read = co_await current.read_body(remaining_time());
+        co_return read ? std::nullopt : std::optional(failure_result(current, read.error()));
+    }
+    while (current.events.bytes.empty() && !current.stream_ended) {
         const base::result<void> read = co_await current.read_events(remaining_time());
         if (!read) {
             co_return failure_result(current, read.error());
@@ -185,6 +194,8 @@
     if (next->attempt) {
         next->attempt->cancelled = true;
         next->attempt->close();
+        // Its end is recorded only after the request may have been answered.
+        may_have_run_ = may_have_run_ || next->attempt->sent;
     } else if (stages_) {
         stages_->release();
         stages_->stop();
@@ -206,6 +217,8 @@
     }
     if (!replacement_ || !replacement_->begun) {
         cancel_replacement();
+        const bool is_late = may_have_run_ && remaining_time() == base::duration::zero();
+        last_result_ = is_late ? relay::attempt_result::timed_out : last_result_;
         co_return nullptr;
     }
     co_return std::exchange(replacement_, nullptr)->attempt;
--- a/packages/daemon/src/relay_run.cpp
+++ b/packages/daemon/src/relay_run.cpp
@@ -24,6 +24,21 @@
 constexpr int status_no_inputs = 400;
 constexpr int status_inputs_gone = 409;
 
+/// Calls a function at the end of its scope, also if an exception ends it.
+class scope_exit {
+public:
+    explicit scope_exit(std::function<void()> function)
+        : function_(std::move(function)) {}
+
+    scope_exit(const scope_exit&) = delete;
+    scope_exit& operator=(const scope_exit&) = delete;
+
+    ~scope_exit() { function_(); }
+
+private:
+    std::function<void()> function_;
+};
+
 bool is_repeatable(const config::relay_route& route) {
     return route.retry != config::retry_mode::at_most_once;
 }
@@ -54,6 +69,8 @@
     const std::shared_ptr<relay_run> self = shared_from_this();
     const std::weak_ptr<relay_run> weak = self;
     client_ = &out;
+    // An exception must leave neither a replacement in progress nor a reference to the responder.
+    const scope_exit release([this]() { release_resources(); });
     out.on_disconnect([weak]() {
         const std::shared_ptr<relay_run> run = weak.lock();
         if (run) {
@@ -79,8 +96,14 @@
     } else if (co_await prepare_inputs(out)) {
         co_await make_attempts(out);
     }
+}
+
+void relay_run::release_resources() {
     input_release_timer_.cancel();
     handle_progress();
+    if (active_) {
+        active_->close();
+    }
     if (stages_) {
         stages_->release();
     }
@@ -268,7 +291,8 @@
     const bool inputs_refused =
         result == relay::attempt_result::declined &&
         (current.header.status == status_no_inputs || current.header.status == status_inputs_gone);
-    const bool others_use_inputs = replacement_ && replacement_->attempt.get() != &current;
+    const bool others_use_inputs =
+        active_ != nullptr || (replacement_ && replacement_->attempt.get() != &current);
     if (inputs_refused && stages_ && !others_use_inputs) {
         stages_->release();
     }
@@ -364,16 +388,21 @@
 asio::awaitable<relay::attempt_result> relay_run::forward_response(relay_attempt& current,
                                                                    http::responder& out) {
     const bool is_failure = current.header.status >= min_server_error_status;
-    if (!is_failure && !stream_started_) {
-        handle_progress();
+    const bool is_answer = !is_failure && !stream_started_;
+    if (is_answer) {
+        // A replacement in progress is kept until the body is whole.
+        stop_watch();
+    }
+    const base::result<void> read = co_await current.read_body(remaining_time());
+    if (!read || current.replaced) {
+        co_return read ? failure_result(current, relay::attempt_result::timed_out)
+                       : failure_result(current, read.error());
     }
-    base::result<std::string> body = co_await current.read_body(remaining_time());
-    if (!body || current.replaced) {
-        co_return body ? failure_result(current, relay::attempt_result::timed_out)
-                       : failure_result(current, body.error());
+    if (is_answer) {
+        handle_progress();
     }
     current.first_byte = now() - current.start;
-    http::response response{current.header.status, current.header.fields, std::move(*body)};
+    http::response response{current.header.status, current.header.fields, std::move(*current.body)};
     if (stream_started_) {
         // The header of a stream was already sent to the client, so this response cannot be forwarded.
         current.detail = "status " + std::to_string(response.status) + " instead of the rest of the stream";
