Notice when the store came back from a copy

No line said that the store had come back from an older copy, and nothing in the daemon could act on it: the era that all answers name was not read. The session of the control strand keeps the newest one, logs store_restored (3009) with the call that showed a new one, tells its observers once for each new era, and returns an answer of a former era, which arrives late, as failed.

--- a/packages/daemon/include/rattanbay/daemon/platform_client.hpp
+++ b/packages/daemon/include/rattanbay/daemon/platform_client.hpp
@@ -11,6 +11,7 @@
 
 #include <atomic>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string_view>
@@ -27,6 +28,12 @@
     /// Called after each call with the call's kind and whether its answer was usable.
     using call_observer = std::function<void(std::string_view, bool)>;
 
+    /// An answer and the era of the store that gave it; 0 if there was no response or it named none.
+    struct dated_answer {
+        object_api::answer answer;
+        std::uint64_t era = 0;
+    };
+
     /// `addresses` must not be empty and `protocol` must not be null.
     platform_client(std::vector<base::address> addresses,
                     std::shared_ptr<const object_api::object_protocol> protocol, call_observer observer);
@@ -40,6 +47,10 @@
     asio::awaitable<object_api::answer> call(asio::any_io_executor executor, object_api::call request,
                                              base::duration timeout = default_timeout);
 
+    /// The same, with the era of the store.
+    asio::awaitable<dated_answer> call_dated(asio::any_io_executor executor, object_api::call request,
+                                             base::duration timeout = default_timeout);
+
 private:
     std::vector<base::address> addresses_;
     std::shared_ptr<const object_api::object_protocol> protocol_;
--- a/packages/daemon/src/internal/platform_session.hpp
+++ b/packages/daemon/src/internal/platform_session.hpp
@@ -8,9 +8,11 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <set>
 #include <string_view>
+#include <vector>
 
 namespace rattanbay::daemon::internal {
 
@@ -21,8 +23,20 @@
     platform_session(platform_client& client, control_strand strand, std::uint64_t seed,
                      std::function<void()> on_recovered);
 
+    /// Makes a call. An answer of a former era of the store, which arrives late, is returned as `failed`.
     asio::awaitable<object_api::answer> call(object_api::call request);
 
+    /// Era of the store: how often it came back from a copy; 0 before the first answer and on platforms that
+    /// never do. After `call` has returned an answer, this is the era of that answer.
+    std::uint64_t era() const { return era_; }
+
+    /// Registers a function that is called once for each new era after the first one, on the control strand
+    /// and before the answer that showed it is returned.
+    void on_new_era(std::function<void()> observer) { era_observers_.push_back(std::move(observer)); }
+
+    /// Waits for a random time below `max_delay`, so that daemons do not all call at once.
+    asio::awaitable<void> sleep_below(base::duration max_delay);
+
     /// Waits before a failed call is repeated, at most until the platform has answered another call.
     /// `failures` counts the consecutive failures of the call.
     asio::awaitable<void> back_off(std::string_view call_name, unsigned failures,
@@ -40,6 +54,7 @@
 
 private:
     void record_result(bool usable);
+    void record_era(std::uint64_t era, const object_api::call& request);
 
     platform_client& client_;
     control_strand strand_;
@@ -47,6 +62,8 @@
     std::function<void()> on_recovered_;
     base::time_point last_answer_;
     bool failing_ = false;
+    std::uint64_t era_ = 0;
+    std::vector<std::function<void()>> era_observers_;
     /// Timers of the calls in `back_off`.
     std::set<asio::steady_timer*> delayed_calls_;
 };
--- a/packages/daemon/src/platform_client.cpp
+++ b/packages/daemon/src/platform_client.cpp
@@ -16,6 +16,13 @@
 
 asio::awaitable<object_api::answer> platform_client::call(asio::any_io_executor executor,
                                                           object_api::call request, base::duration timeout) {
+    dated_answer out = co_await call_dated(std::move(executor), std::move(request), timeout);
+    co_return std::move(out.answer);
+}
+
+asio::awaitable<platform_client::dated_answer> platform_client::call_dated(asio::any_io_executor executor,
+                                                                           object_api::call request,
+                                                                           base::duration timeout) {
     object_api::http_call http_call = protocol_->to_http(request);
     http::exchange_timeouts limits;
     limits.response_header = http_call.wait + timeout;
@@ -34,7 +41,7 @@
         current_address_.compare_exchange_strong(expected, index + 1);
     }
     observer_(http_call.kind, usable);
-    co_return result;
+    co_return dated_answer{std::move(result), answer ? protocol_->era(*answer) : 0};
 }
 
 } // namespace rattanbay::daemon
--- a/packages/daemon/src/platform_session.cpp
+++ b/packages/daemon/src/platform_session.cpp
@@ -17,6 +17,23 @@
 /// Bounds the time until a daemon finds that the platform answers again.
 constexpr std::chrono::seconds max_backoff{2};
 
+/// Name of a call's kind for the log.
+struct call_name {
+    std::string operator()(const object_api::read_object&) const { return "read"; }
+
+    std::string operator()(const object_api::write_object&) const { return "write"; }
+
+    std::string operator()(const object_api::delete_object&) const { return "delete"; }
+
+    std::string operator()(const object_api::list_objects&) const { return "list"; }
+
+    std::string operator()(const object_api::watch_object&) const { return "watch"; }
+
+    std::string operator()(const object_api::list_vms&) const { return "list_vms"; }
+
+    std::string operator()(const object_api::watch_vms&) const { return "watch_vms"; }
+};
+
 } // namespace
 
 platform_session::platform_session(platform_client& client, control_strand strand, std::uint64_t seed,
@@ -28,9 +45,15 @@
     , last_answer_(now()) {}
 
 asio::awaitable<object_api::answer> platform_session::call(object_api::call request) {
-    object_api::answer answer = co_await client_.call(strand_, std::move(request));
-    record_result(!std::holds_alternative<object_api::failed>(answer));
-    co_return answer;
+    platform_client::dated_answer out = co_await client_.call_dated(strand_, request);
+    record_result(!std::holds_alternative<object_api::failed>(out.answer));
+    if (out.era != 0 && out.era < era_) {
+        co_return object_api::failed{
+            base::error{base::error_code::unavailable, "the answer is of era " + std::to_string(out.era) +
+                                                           ", the store is in era " + std::to_string(era_)}};
+    }
+    record_era(out.era, request);
+    co_return std::move(out.answer);
 }
 
 asio::awaitable<void> platform_session::back_off(std::string_view call_name, unsigned failures,
@@ -65,6 +88,27 @@
     co_await sleep_for(interval / 2 + base::duration(jitter));
 }
 
+asio::awaitable<void> platform_session::sleep_below(base::duration max_delay) {
+    co_await sleep_for(base::duration(random_.below(static_cast<std::uint64_t>(max_delay.count()))));
+}
+
+void platform_session::record_era(std::uint64_t era, const object_api::call& request) {
+    const std::uint64_t previous = era_;
+    if (era <= previous) {
+        return;
+    }
+    era_ = era;
+    if (previous == 0) {
+        return;
+    }
+    telemetry::log(telemetry::log_event::store_restored, {{"era_before", std::to_string(previous)},
+                                                          {"era", std::to_string(era)},
+                                                          {"call", std::visit(call_name{}, request)}});
+    for (const std::function<void()>& observer : era_observers_) {
+        observer();
+    }
+}
+
 void platform_session::record_result(bool usable) {
     if (usable) {
         last_answer_ = now();
--- a/packages/object_api/include/rattanbay/object_api/http_mapping.hpp
+++ b/packages/object_api/include/rattanbay/object_api/http_mapping.hpp
@@ -6,6 +6,7 @@
 #include <rattanbay/object_api/answer.hpp>
 #include <rattanbay/object_api/call.hpp>
 
+#include <cstdint>
 #include <string_view>
 
 namespace rattanbay::object_api {
@@ -30,6 +31,10 @@
 
     virtual http_call to_http(const call& request) const;
     virtual answer to_answer(const call& request, const base::result<http::response>& response) const;
+
+    /// Era of the store that gave this response, whatever its status: how often the store came back from a
+    /// copy. 0 on platforms that never do, and if the response names none.
+    virtual std::uint64_t era(const http::response& response) const;
 };
 
 /// Encodes a call as an HTTP request. Kinds and names are put into the path without escaping; the value of a
--- a/packages/object_api/src/http_mapping.cpp
+++ b/packages/object_api/src/http_mapping.cpp
@@ -162,6 +162,10 @@
     return object_api::to_http(request);
 }
 
+std::uint64_t object_protocol::era(const http::response&) const {
+    return 0;
+}
+
 answer object_protocol::to_answer(const call& request, const base::result<http::response>& response) const {
     return object_api::to_answer(request, response);
 }
--- a/packages/telemetry/include/rattanbay/telemetry/log_event.hpp
+++ b/packages/telemetry/include/rattanbay/telemetry/log_event.hpp
@@ -35,6 +35,8 @@
     entries_unusable = 3005,
     vm_list_answer_stale = 3006,
     platform_call_delayed = 3007,
+    store_restored = 3009,
+    registry_entry_written = 3010,
     member_joined = 4001,
     member_suspected = 4002,
     member_lost = 4003,
@@ -72,7 +74,7 @@
 };
 
 /// All log events, ordered by number.
-constexpr std::array<log_event_info, 51> log_events{{
+constexpr std::array<log_event_info, 53> log_events{{
     {log_event::daemon_started, log_level::info, "The daemon listens on all its addresses."},
     {log_event::daemon_draining, log_level::info, "A planned stop began; the daemon leaves the entry lists."},
     {log_event::daemon_stopped, log_level::info, "The planned stop ended; no request was left open."},
@@ -110,6 +112,10 @@
      "An answer about the VM list is older than the list in use."},
     {log_event::platform_call_delayed, log_level::info,
      "A platform call failed and is repeated after a delay."},
+    {log_event::store_restored, log_level::warning,
+     "The store came back from a copy; what was written since the copy is gone."},
+    {log_event::registry_entry_written, log_level::info,
+     "The daemon's entry in the store was written or found."},
     {log_event::member_joined, log_level::info, "Another daemon was found."},
     {log_event::member_suspected, log_level::warning,
      "A daemon does not answer probes and leaves the entry lists."},
@@ -167,7 +173,7 @@
 };
 
 template <> struct rattanbay::base::enum_names<rattanbay::telemetry::log_event> {
-    static constexpr std::array<enum_name<telemetry::log_event>, 51> table{{
+    static constexpr std::array<enum_name<telemetry::log_event>, 53> table{{
         {telemetry::log_event::daemon_started, "daemon_started"},
         {telemetry::log_event::daemon_draining, "daemon_draining"},
         {telemetry::log_event::daemon_stopped, "daemon_stopped"},
@@ -192,6 +198,8 @@
         {telemetry::log_event::entries_unusable, "entries_unusable"},
         {telemetry::log_event::vm_list_answer_stale, "vm_list_answer_stale"},
         {telemetry::log_event::platform_call_delayed, "platform_call_delayed"},
+        {telemetry::log_event::store_restored, "store_restored"},
+        {telemetry::log_event::registry_entry_written, "registry_entry_written"},
         {telemetry::log_event::member_joined, "member_joined"},
         {telemetry::log_event::member_suspected, "member_suspected"},
         {telemetry::log_event::member_lost, "member_lost"},
