Write the registry entry again when the store came back from a copy

A daemon wrote its entry once, at its start. If the store then came back from a copy made before that, the entry was gone for good, and daemons that started later without a living seed found no other daemon. On a new era each daemon now writes its entry again within one second, unless it is there, with the usual back-off, and once more if another era begins before it is done.

--- a/packages/daemon/src/daemon_registry.cpp
+++ b/packages/daemon/src/daemon_registry.cpp
@@ -1,5 +1,7 @@
 #include "internal/daemon_registry.hpp"
 
+#include <rattanbay/telemetry.hpp>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -14,6 +16,9 @@
 /// Interval of reading these objects, and the shorter one of a daemon that knows no other daemon.
 constexpr std::chrono::seconds read_interval{60};
 constexpr std::chrono::seconds lone_read_interval{3};
+/// Time over which the daemons spread their writes after the store came back from a copy: 91 daemons then
+/// make a quarter of the 400 writes per second that a small deployment may make.
+constexpr std::chrono::seconds rewrite_spread{1};
 
 /// Name of a daemon's object: its address with dashes, which every platform allows in names.
 std::string registry_name(const base::address& address) {
@@ -45,6 +50,7 @@
 
 void daemon_registry::start() {
     const std::shared_ptr<daemon_registry> self = shared_from_this();
+    platform_.on_new_era([this]() { register_again(); });
     asio::co_spawn(
         strand_, [self]() { return self->run(); }, asio::detached);
 }
@@ -52,15 +58,40 @@
 asio::awaitable<void> daemon_registry::register_self() {
     const object_api::object_key key{std::string(registry_kind),
                                      registry_name(shared_.settings.peer_address)};
+    registering_ = true;
     unsigned failures = 0;
-    while (true) {
+    std::optional<std::uint64_t> written_era;
+    // The store may come back from a copy again before this is done.
+    while (written_era != platform_.era()) {
         const object_api::write_object request{key, std::nullopt, "{}"};
         const object_api::answer answer = co_await platform_.call(request);
-        if (!std::holds_alternative<object_api::failed>(answer)) {
-            co_return;
+        if (std::holds_alternative<object_api::failed>(answer)) {
+            co_await platform_.back_off("register", ++failures, answer);
+            continue;
         }
-        co_await platform_.back_off("register", ++failures, answer);
+        written_era = platform_.era();
+        failures = 0;
+        const bool is_created = std::holds_alternative<object_api::written>(answer);
+        telemetry::log(
+            telemetry::log_event::registry_entry_written,
+            {{"era", std::to_string(*written_era)}, {"result", is_created ? "created" : "was there"}});
     }
+    registering_ = false;
+}
+
+void daemon_registry::register_again() {
+    if (registering_) {
+        return;
+    }
+    registering_ = true;
+    const std::shared_ptr<daemon_registry> self = shared_from_this();
+    asio::co_spawn(
+        strand_,
+        [self]() -> asio::awaitable<void> {
+            co_await self->platform_.sleep_below(rewrite_spread);
+            co_await self->register_self();
+        },
+        asio::detached);
 }
 
 asio::awaitable<void> daemon_registry::run() {
--- a/packages/daemon/src/internal/daemon_registry.hpp
+++ b/packages/daemon/src/internal/daemon_registry.hpp
@@ -25,13 +25,17 @@
 
 private:
     asio::awaitable<void> run();
+    /// Writes the daemon's entry unless it is there, until the store of the newest era has answered.
     asio::awaitable<void> register_self();
+    /// Writes the entry again after the store came back from a copy, which may not contain it.
+    void register_again();
     bool is_member(const base::address& peer_address) const;
 
     shared_state& shared_;
     control_strand strand_;
     platform_session& platform_;
     discovery_handler on_discovered_;
+    bool registering_ = false;
 };
 
 } // namespace rattanbay::daemon::internal
