Watch the document anew when the store came back from a copy

The watch of the document went on from a revision of the former era. Once the new count had passed that revision the store did not answer with status 410, so a change among the revisions given out again was never delivered; only the periodic read found it, after up to 20 s on a large deployment. On a new era each daemon now ends the running watch, reads the document once within 0.3 s and watches from there. An answer of the former watch is dropped.

--- a/packages/daemon/src/document_synchronizer.cpp
+++ b/packages/daemon/src/document_synchronizer.cpp
@@ -40,6 +40,9 @@
 /// Data that is compressed before other work of the thread runs.
 constexpr std::size_t compression_step_bytes = 32 * 1024;
 constexpr std::size_t max_logged_findings = 8;
+/// Time over which the daemons spread their reads after the store came back from a copy. A change has to be
+/// in force 2 s after the store acknowledged it.
+constexpr std::chrono::milliseconds reread_spread{300};
 
 } // namespace
 
@@ -54,18 +57,45 @@
 
 void document_synchronizer::start() {
     const std::shared_ptr<document_synchronizer> self = shared_from_this();
-    asio::co_spawn(
-        strand_, [self]() { return self->watch(); }, asio::detached);
+    platform_.on_new_era([this]() { watch_anew(); });
+    start_watch();
     asio::co_spawn(
         strand_, [self]() { return self->read_periodically(); }, asio::detached);
 }
 
-asio::awaitable<void> document_synchronizer::watch() {
+void document_synchronizer::start_watch() {
+    const std::shared_ptr<document_synchronizer> self = shared_from_this();
+    const std::uint64_t generation = ++watch_generation_;
+    watched_version_ = 0;
+    asio::co_spawn(
+        strand_, [self, generation]() { return self->watch(generation); }, asio::detached);
+}
+
+void document_synchronizer::watch_anew() {
+    const std::shared_ptr<document_synchronizer> self = shared_from_this();
+    // Ends the running watch also if its own answer showed the new era.
+    const std::uint64_t generation = ++watch_generation_;
+    asio::co_spawn(
+        strand_,
+        [self, generation]() -> asio::awaitable<void> {
+            co_await self->platform_.sleep_below(reread_spread);
+            // If the store came back again meanwhile, its later return starts the watch.
+            if (generation == self->watch_generation_) {
+                self->start_watch();
+            }
+        },
+        asio::detached);
+}
+
+asio::awaitable<void> document_synchronizer::watch(std::uint64_t generation) {
     watch_failures failures;
-    while (true) {
+    while (generation == watch_generation_) {
         const object_api::object_key key = config::document_object::key(shared_.settings.environment);
         const object_api::watch_object request{key, watched_version_, failures.wait()};
         object_api::answer answer = co_await platform_.call(request);
+        if (generation != watch_generation_) {
+            co_return;
+        }
         if (object_api::object* object = std::get_if<object_api::object>(&answer)) {
             watched_version_ = std::max(watched_version_, object->version);
             co_await offer(std::move(object->value), "watch");
--- a/packages/daemon/src/internal/document_synchronizer.hpp
+++ b/packages/daemon/src/internal/document_synchronizer.hpp
@@ -77,7 +77,11 @@
         base::time_point arrival;
     };
 
-    asio::awaitable<void> watch();
+    void start_watch();
+    asio::awaitable<void> watch(std::uint64_t generation);
+    /// Reads the document and watches it anew after the store came back from a copy, whose revisions are
+    /// unrelated to those of the running watch.
+    void watch_anew();
     base::duration read_interval() const;
     asio::awaitable<void> read_periodically();
     asio::awaitable<void> fetch_wanted();
@@ -100,6 +104,8 @@
     base::random_source random_;
     /// Version of the store up to which the watch has seen all changes.
     std::uint64_t watched_version_ = 0;
+    /// Number of the current watch. Earlier ones end with their next answer.
+    std::uint64_t watch_generation_ = 0;
     std::deque<offered_document> offered_;
     bool loading_ = false;
     /// Cancelled when no offer is left to decide.
