Use another content of the version in force from a later era of the store

The operator's version goes on over a return from a copy, but an acknowledged change can be lost, and the next one may carry the same version. Daemons that had the lost content rejected the new one for good as having "the revision in force but a different sha256", while the others served it. A document now carries the era of the store that it was read from. The content of the version in force is replaced only by what a later era holds; peers' documents have no era and never replace it, so that no daemon goes back. The compressed form for peers is kept for the document, not for its revision.

restored_configuration/another_content_of_the_version_in_force_is_used failed before ("both_serve(cluster, kept) has failed" after 8 s, the lost route still served) and passes after.

--- a/packages/config/include/rattanbay/config/adoption.hpp
+++ b/packages/config/include/rattanbay/config/adoption.hpp
@@ -37,7 +37,8 @@
 
 /// Decides which documents a daemon adopts. The platform and peers may offer stale or corrupted documents;
 /// only a higher revision with a matching hash and valid content is adopted, so the revision in force never
-/// decreases.
+/// decreases. The content of the revision in force changes only if a later era of the platform's store holds
+/// another one: the store has lost the former content with what was written after its copy.
 class document_adoption {
 public:
     /// Document in force, or null if none was adopted yet.
@@ -50,7 +51,8 @@
     adoption_result offer(const document_object& offered);
 
     /// Evaluates a document that was read from the platform's own form, where its text has no separate hash.
-    adoption_result offer(std::shared_ptr<const environment_document> offered);
+    /// `era` is the era of the store that it was read from; 0 if it came from a peer or there are no eras.
+    adoption_result offer(std::shared_ptr<const environment_document> offered, std::uint64_t era = 0);
 
     /// Evaluates the serialized value of the platform object.
     adoption_result offer_serialized(std::string_view value);
@@ -60,6 +62,8 @@
                              std::vector<finding> findings = {});
 
     std::shared_ptr<const environment_document> current_;
+    /// Newest era of the store in which the document in force was read; 0 if it came from a peer only.
+    std::uint64_t era_ = 0;
     /// Reason and text hash of the last rejection, to detect repeats.
     std::string last_rejection_;
 };
--- a/packages/config/src/adoption.cpp
+++ b/packages/config/src/adoption.cpp
@@ -1,6 +1,8 @@
 #include <rattanbay/base/hash.hpp>
 #include <rattanbay/config/adoption.hpp>
 
+#include <algorithm>
+
 namespace rattanbay::config {
 
 adoption_result document_adoption::offer(const document_object& offered) {
@@ -23,19 +25,26 @@
         return reject(offered, "its text states revision " + std::to_string(document->revision));
     }
     current_ = std::make_shared<const environment_document>(std::move(*document));
+    era_ = 0;
     return document_adopted{current_};
 }
 
-adoption_result document_adoption::offer(std::shared_ptr<const environment_document> offered) {
+adoption_result document_adoption::offer(std::shared_ptr<const environment_document> offered,
+                                         std::uint64_t era) {
     const bool same_bytes = current_ && offered->sha256 == current_->sha256;
-    if (offered->revision < revision() || (offered->revision == revision() && same_bytes)) {
+    if (offered->revision < revision()) {
+        return document_ignored{};
+    }
+    if (offered->revision == revision() && same_bytes) {
+        era_ = std::max(era_, era);
         return document_ignored{};
     }
-    if (offered->revision == revision()) {
+    if (offered->revision == revision() && era <= era_) {
         return reject(document_object::of(*offered),
                       "it has the revision in force but a different sha256, " + offered->sha256);
     }
     current_ = std::move(offered);
+    era_ = era;
     return document_adopted{current_};
 }
 
--- a/packages/daemon/src/document_synchronizer.cpp
+++ b/packages/daemon/src/document_synchronizer.cpp
@@ -98,7 +98,7 @@
         }
         if (object_api::object* object = std::get_if<object_api::object>(&answer)) {
             watched_version_ = std::max(watched_version_, object->version);
-            co_await offer(std::move(object->value), "watch");
+            co_await offer(std::move(object->value), "watch", platform_.era());
         } else if (const object_api::unchanged* unchanged = std::get_if<object_api::unchanged>(&answer)) {
             watched_version_ = std::max(watched_version_, unchanged->version);
         } else if (std::holds_alternative<object_api::history_lost>(answer)) {
@@ -130,7 +130,7 @@
         object_api::answer answer = co_await platform_.call(request);
         if (object_api::object* object = std::get_if<object_api::object>(&answer)) {
             const std::uint64_t store_version = object->store_version;
-            co_await offer(std::move(object->value), "read");
+            co_await offer(std::move(object->value), "read", platform_.era());
             co_await handlers_.on_store_version(store_version);
         }
     }
@@ -143,7 +143,7 @@
     if (object == nullptr) {
         co_return false;
     }
-    co_await offer(std::move(object->value), "read");
+    co_await offer(std::move(object->value), "read", platform_.era());
     co_return true;
 }
 
@@ -213,9 +213,10 @@
     return holders[random_.below(holders.size())];
 }
 
-asio::awaitable<void> document_synchronizer::offer(std::string value, std::string_view source) {
+asio::awaitable<void> document_synchronizer::offer(std::string value, std::string_view source,
+                                                   std::uint64_t era) {
     const std::shared_ptr<document_synchronizer> self = shared_from_this();
-    offered_.push_back(offered_document{std::move(value), source, now()});
+    offered_.push_back(offered_document{std::move(value), source, now(), era});
     while (loading_) {
         boost::system::error_code ec;
         co_await loaded_.async_wait(asio::redirect_error(asio::use_awaitable, ec));
@@ -231,12 +232,14 @@
         offered_document next = std::move(offered_.front());
         offered_.pop_front();
         const base::hash128 hash = base::fast_hash(next.value);
-        if (hash == decided_hash_) {
+        const std::uint64_t era = next.era;
+        if (hash == decided_hash_ && era <= decided_era_) {
             shared_.metrics.record_document("ignored");
             continue;
         }
         co_await load(std::move(next));
         decided_hash_ = hash;
+        decided_era_ = era;
     }
     loading_ = false;
     loaded_.cancel();
@@ -277,7 +280,7 @@
     std::shared_ptr<const config::environment_document> document = builder.finish();
     co_await yield();
     const std::uint64_t revision = document->revision;
-    decide(adoption_.offer(std::move(document)), offered, bytes);
+    decide(adoption_.offer(std::move(document), offered.era), offered, bytes);
     telemetry::log(telemetry::log_event::document_read,
                    {{"revision", std::to_string(revision)},
                     {"source", std::string(offered.source)},
@@ -375,8 +378,8 @@
 }
 
 asio::awaitable<std::string> document_synchronizer::compressed() {
-    const std::uint64_t revision = adoption_.revision();
-    if (compressed_revision_ != revision) {
+    const std::shared_ptr<const config::environment_document> document = adoption_.current();
+    if (compressed_document_ != document) {
         const std::string value = serialized();
         compressor work(value.size());
         for (std::size_t start = 0; start < value.size(); start += compression_step_bytes) {
@@ -384,7 +387,7 @@
             co_await yield();
         }
         compressed_ = std::move(work).finish();
-        compressed_revision_ = revision;
+        compressed_document_ = document;
     }
     co_return compressed_;
 }
--- a/packages/daemon/src/internal/document_synchronizer.hpp
+++ b/packages/daemon/src/internal/document_synchronizer.hpp
@@ -56,8 +56,9 @@
     asio::awaitable<bool> read();
 
     /// Reads a document and adopts it if it is newer. Returns when this and all earlier offers are decided.
-    /// `source` names where it was found, for the log.
-    asio::awaitable<void> offer(std::string value, std::string_view source);
+    /// `source` names where it was found, for the log. `era` is the era of the store that gave it; 0 if a
+    /// peer did.
+    asio::awaitable<void> offer(std::string value, std::string_view source, std::uint64_t era = 0);
 
     asio::awaitable<void> offer_compressed(std::string bytes);
 
@@ -75,6 +76,7 @@
         std::string value;
         std::string_view source;
         base::time_point arrival;
+        std::uint64_t era = 0;
     };
 
     void start_watch();
@@ -110,9 +112,12 @@
     bool loading_ = false;
     /// Cancelled when no offer is left to decide.
     asio::steady_timer loaded_;
-    /// Hash of the document that was decided last. The same document is offered again by each read.
+    /// Hash of the document that was decided last and the era in which it was offered. The same document is
+    /// offered again by each read.
     base::hash128 decided_hash_;
-    std::uint64_t compressed_revision_ = 0;
+    std::uint64_t decided_era_ = 0;
+    /// Document of which `compressed_` was made.
+    std::shared_ptr<const config::environment_document> compressed_document_;
     std::string compressed_;
     std::uint64_t offered_revision_ = 0;
     std::uint64_t wanted_revision_ = 0;
