Order positions in the store's history by era and revision

The platform's store counts its changes, and daemons kept positions in that history as bare numbers. When the store comes back from a copy, the count goes back, so numbers from before and after the return are unrelated, but nothing kept them apart.

Positions are now an `object_api::store_revision`, an ordered pair of era and number without a conversion from integers, so the compiler finds every place that compares them. The era is appended to member records and state replies; daemons of the earlier build ignore it, and their messages are read with era 0 (codec test). An object's own version stays a number, because it is only compared for equality by the store.

No change of behaviour is intended on stores without an era.

--- a/packages/capacity_benchmark/capacity_benchmark.cpp
+++ b/packages/capacity_benchmark/capacity_benchmark.cpp
@@ -105,7 +105,7 @@
     record.sequence = 1;
     record.revision = 1;
     record.ledger_recorded = true;
-    record.vm_list_change = 1'000'000;
+    record.vm_list_change = {1, 1'000'000};
     return record;
 }
 
@@ -376,7 +376,7 @@
 
 object_api::vm_list make_vm_list(std::size_t endpoints) {
     object_api::vm_list list;
-    list.version = 1;
+    list.version = {0, 1};
     for (std::size_t n = 0; n < endpoints; ++n) {
         const auto third_octet = static_cast<std::uint8_t>(n / 250);
         const base::address address{{10, 2, third_octet, static_cast<std::uint8_t>(n % 250 + 1)}, 8000};
@@ -396,7 +396,7 @@
                        {"failure_domain", vm.failure_domain.text()},
                        {"state", std::string(base::to_name(vm.state))}});
     }
-    return nlohmann::json{{"version", list.version}, {"vms", vms}}.dump();
+    return nlohmann::json{{"version", list.version.number()}, {"vms", vms}}.dump();
 }
 
 void measure_endpoints(std::size_t endpoints, const config::environment_document& document) {
--- a/packages/daemon/src/control.cpp
+++ b/packages/daemon/src/control.cpp
@@ -93,7 +93,7 @@
     members_ = std::make_unique<membership_driver>(
         shared, strand, *transport_,
         [this](std::uint64_t revision, const base::address& at) { state_->catch_up_document(revision, at); },
-        [this](std::uint64_t version) { state_->catch_up_vms(version); });
+        [this](const object_api::store_revision& version) { state_->catch_up_vms(version); });
     state_ = std::make_shared<state_synchronizer>(
         shared, strand, platform_, *transport_,
         [this](const std::vector<peer::member_record>& members) { members_->merge_members(members); },
@@ -269,7 +269,7 @@
             limit_exchange_->refresh();
         }
         const std::uint32_t load = shared_.requests_in_progress.load();
-        const std::uint64_t vm_list_change = state_->newest_vm_change();
+        const object_api::store_revision vm_list_change = state_->newest_vm_change();
         members_->update_self([load, vm_list_change](peer::member_record& own) {
             own.load = load;
             own.vm_list_change = vm_list_change;
--- a/packages/daemon/src/document_synchronizer.cpp
+++ b/packages/daemon/src/document_synchronizer.cpp
@@ -67,14 +67,13 @@
         const object_api::watch_object request{key, watched_version_, failures.wait()};
         object_api::answer answer = co_await platform_.call(request);
         if (object_api::object* object = std::get_if<object_api::object>(&answer)) {
-            watched_version_ = std::max(watched_version_, object->version);
+            watched_version_ = std::max(watched_version_, object->next_watch);
             co_await offer(std::move(object->value), "watch");
         } else if (const object_api::unchanged* unchanged = std::get_if<object_api::unchanged>(&answer)) {
             watched_version_ = std::max(watched_version_, unchanged->version);
         } else if (std::holds_alternative<object_api::history_lost>(answer)) {
-            telemetry::log(telemetry::log_event::history_lost,
-                           {{"version", std::to_string(watched_version_)}});
-            watched_version_ = 0;
+            telemetry::log(telemetry::log_event::history_lost, {{"version", watched_version_.text()}});
+            watched_version_ = object_api::store_revision();
         }
         const bool usable = !std::holds_alternative<object_api::failed>(answer) &&
                             !std::holds_alternative<object_api::not_found>(answer);
@@ -96,10 +95,10 @@
         co_await platform_.sleep_about(read_interval());
         // A watch from version 0 returns immediately, also if the store's watches report no changes.
         const object_api::watch_object request{
-            config::document_object::key(shared_.settings.environment), 0, {}};
+            config::document_object::key(shared_.settings.environment), {}, {}};
         object_api::answer answer = co_await platform_.call(request);
         if (object_api::object* object = std::get_if<object_api::object>(&answer)) {
-            const std::uint64_t store_version = object->store_version;
+            const object_api::store_revision store_version = object->store_version;
             co_await offer(std::move(object->value), "read");
             co_await handlers_.on_store_version(store_version);
         }
--- a/packages/daemon/src/internal/document_synchronizer.hpp
+++ b/packages/daemon/src/internal/document_synchronizer.hpp
@@ -26,7 +26,7 @@
 public:
     using revision_handler = std::function<void(std::uint64_t)>;
     /// Called with the version of the whole store at the time of a read.
-    using store_version_handler = std::function<asio::awaitable<void>(std::uint64_t)>;
+    using store_version_handler = std::function<asio::awaitable<void>(object_api::store_revision)>;
     /// Requests the state of another daemon and offers the document in it.
     using state_fetcher = std::function<asio::awaitable<bool>(base::address, base::duration)>;
 
@@ -99,7 +99,7 @@
     config::document_adoption adoption_;
     base::random_source random_;
     /// Version of the store up to which the watch has seen all changes.
-    std::uint64_t watched_version_ = 0;
+    object_api::store_revision watched_version_;
     std::deque<offered_document> offered_;
     bool loading_ = false;
     /// Cancelled when no offer is left to decide.
--- a/packages/daemon/src/internal/membership_driver.hpp
+++ b/packages/daemon/src/internal/membership_driver.hpp
@@ -17,7 +17,7 @@
     using revision_handler = std::function<void(std::uint64_t, const base::address&)>;
 
     /// Called with the version of a change that a member's VM list contains and this daemon's may not.
-    using vm_list_change_handler = std::function<void(std::uint64_t)>;
+    using vm_list_change_handler = std::function<void(const object_api::store_revision&)>;
 
     membership_driver(shared_state& shared, control_strand strand, peer_transport& transport,
                       revision_handler on_revision, vm_list_change_handler on_vm_list_change);
--- a/packages/daemon/src/internal/relay_run.hpp
+++ b/packages/daemon/src/internal/relay_run.hpp
@@ -118,7 +118,7 @@
     http::client_connection* active_connection_ = nullptr;
     /// VM list from which the last endpoint was chosen: its version, and the time since the platform's last
     /// answer about it.
-    std::uint64_t list_version_ = 0;
+    object_api::store_revision list_version_;
     base::duration list_age_{};
     /// Times of the last attempt, relative to the arrival of the request.
     std::optional<base::duration> time_to_send_;
--- a/packages/daemon/src/internal/state_synchronizer.hpp
+++ b/packages/daemon/src/internal/state_synchronizer.hpp
@@ -30,10 +30,10 @@
     void catch_up_document(std::uint64_t revision, const base::address& peer_address);
 
     /// See `vm_list_synchronizer::catch_up`.
-    void catch_up_vms(std::uint64_t change_version);
+    void catch_up_vms(const object_api::store_revision& change_version);
 
     /// Version of the newest known change of the VM list.
-    std::uint64_t newest_vm_change() const { return vms_->newest_change(); }
+    const object_api::store_revision& newest_vm_change() const { return vms_->newest_change(); }
 
     /// Builds the reply to another daemon's state request.
     asio::awaitable<peer::frame> build_state_reply(peer::state_request request,
--- a/packages/daemon/src/internal/vm_list_publisher.hpp
+++ b/packages/daemon/src/internal/vm_list_publisher.hpp
@@ -13,13 +13,13 @@
 /// Where information about the VM list came from: the kind of call, as logged, and the version of its answer.
 struct vm_list_source {
     std::string_view call;
-    std::uint64_t version = 0;
+    object_api::store_revision version;
 };
 
 /// Source of an answer of the platform; nothing if the answer is not about the VM list. `current_version` is
 /// the version of the list in use.
 std::optional<vm_list_source> vm_list_source_of(const object_api::answer& answer,
-                                                std::uint64_t current_version);
+                                                const object_api::store_revision& current_version);
 
 /// Publishes VM lists to the request threads, and logs what each answer about the list changed. Runs on the
 /// control strand.
@@ -29,7 +29,8 @@
         : shared_(shared) {}
 
     /// Logs and counts an answer about the VM list before it is applied to the list of `current_version`.
-    void record_answer(const vm_list_source& source, std::uint64_t current_version, bool is_unchanged);
+    void record_answer(const vm_list_source& source, const object_api::store_revision& current_version,
+                       bool is_unchanged);
 
     /// Logs the number of entries of an answer that were left out because they are unusable.
     static void log_unusable_entries(std::size_t entries);
--- a/packages/daemon/src/internal/vm_list_synchronizer.hpp
+++ b/packages/daemon/src/internal/vm_list_synchronizer.hpp
@@ -21,11 +21,11 @@
 
     /// Reads the VM list if the watch does not bring the change of this version, which another daemon has, in
     /// time. Does nothing while the platform fails or an earlier call is in progress.
-    void catch_up(std::uint64_t change_version);
+    void catch_up(const object_api::store_revision& change_version);
 
     /// Reads the VM list and starts a new watch if the current one does not bring the list up to
     /// `store_version` in time.
-    asio::awaitable<void> read_missed(std::uint64_t store_version);
+    asio::awaitable<void> read_missed(object_api::store_revision store_version);
 
     /// Offers the list of another daemon, which is used until the platform's own list is complete.
     void apply_peer_list(const object_api::vm_list& list);
@@ -36,7 +36,7 @@
     void publish_endpoints() { publisher_.publish_endpoints(); }
 
     /// Version of the newest known change of the list.
-    std::uint64_t newest_change() const { return directory_.newest_change(); }
+    const object_api::store_revision& newest_change() const { return directory_.newest_change(); }
 
 private:
     void start_watch();
--- a/packages/daemon/src/operator_handler.cpp
+++ b/packages/daemon/src/operator_handler.cpp
@@ -100,7 +100,8 @@
     body["draining"] = shared_.draining.load();
     body["requests"] = shared_.requests_in_progress.load();
     const std::shared_ptr<const object_api::vm_list> vms = shared_.vms.read();
-    body["vm_list_version"] = vms->version;
+    body["vm_list_version"] = vms->version.number();
+    body["vm_list_era"] = vms->version.era();
     body["members"] = json::array();
     for (const peer::member_record& member : view->members) {
         body["members"].push_back(member_to_json(member));
--- a/packages/daemon/src/relay_run.cpp
+++ b/packages/daemon/src/relay_run.cpp
@@ -565,7 +565,7 @@
          {"input_tokens", input_.request.prompt ? std::to_string(input_.request.prompt->input_tokens) : ""},
          {"left_ms", std::to_string(base::to_milliseconds(remaining_time()))},
          {"document", std::to_string(input_.serving->revision)},
-         {"vm_list", std::to_string(list_version_)},
+         {"vm_list", list_version_.text()},
          {"vm_list_age_ms", std::to_string(base::to_milliseconds(list_age_))}});
     shared_.metrics.record_request(base::pipeline_name(input_.route->name), result, elapsed);
 }
--- a/packages/daemon/src/state_synchronizer.cpp
+++ b/packages/daemon/src/state_synchronizer.cpp
@@ -41,7 +41,9 @@
         }
         on_revision(revision);
     };
-    out.on_store_version = [this](std::uint64_t version) { return vms_->read_missed(version); };
+    out.on_store_version = [this](const object_api::store_revision& version) {
+        return vms_->read_missed(version);
+    };
     out.fetch_state = [this](base::address peer_address, base::duration timeout) {
         return fetch_state_from(peer_address, timeout);
     };
@@ -63,7 +65,7 @@
     documents_->catch_up(revision, peer_address);
 }
 
-void state_synchronizer::catch_up_vms(std::uint64_t change_version) {
+void state_synchronizer::catch_up_vms(const object_api::store_revision& change_version) {
     vms_->catch_up(change_version);
 }
 
--- a/packages/daemon/src/vm_list_publisher.cpp
+++ b/packages/daemon/src/vm_list_publisher.cpp
@@ -25,7 +25,7 @@
 }
 
 struct source_visitor {
-    std::uint64_t current_version = 0;
+    object_api::store_revision current_version;
 
     std::optional<vm_list_source> operator()(const object_api::vm_list& answer) const {
         return vm_list_source{"list", answer.version};
@@ -40,7 +40,7 @@
     }
 
     std::optional<vm_list_source> operator()(const object_api::unchanged& answer) const {
-        return vm_list_source{"watch", answer.version == 0 ? current_version : answer.version};
+        return vm_list_source{"watch", answer.version.is_unset() ? current_version : answer.version};
     }
 
     template <class Other> std::optional<vm_list_source> operator()(const Other&) const {
@@ -51,23 +51,22 @@
 } // namespace
 
 std::optional<vm_list_source> vm_list_source_of(const object_api::answer& answer,
-                                                std::uint64_t current_version) {
+                                                const object_api::store_revision& current_version) {
     return std::visit(source_visitor{current_version}, answer);
 }
 
-void vm_list_publisher::record_answer(const vm_list_source& source, std::uint64_t current_version,
-                                      bool is_unchanged) {
+void vm_list_publisher::record_answer(const vm_list_source& source,
+                                      const object_api::store_revision& current_version, bool is_unchanged) {
     const bool is_stale = source.version < current_version;
     std::string_view result = is_unchanged ? "unchanged" : "applied";
     if (is_stale) {
         result = "stale";
-        telemetry::log(telemetry::log_event::vm_list_answer_stale,
-                       {{"call", std::string(source.call)},
-                        {"answer_version", std::to_string(source.version)},
-                        {"version", std::to_string(current_version)}});
+        telemetry::log(telemetry::log_event::vm_list_answer_stale, {{"call", std::string(source.call)},
+                                                                    {"answer_version", source.version.text()},
+                                                                    {"version", current_version.text()}});
     }
     shared_.metrics.record_vm_list_answer(source.call, result);
-    shared_.metrics.set_vm_list_confirmed(std::max(source.version, current_version),
+    shared_.metrics.set_vm_list_confirmed(std::max(source.version, current_version).number(),
                                           telemetry::wall_clock_us());
     shared_.vms_confirmed_at.store(now());
 }
@@ -90,16 +89,15 @@
         leaving += row.state == object_api::vm_state::leaving ? 1 : 0;
     }
     const object_api::vm_list_diff diff = object_api::vm_list_diff::between(*previous, list);
-    telemetry::log(telemetry::log_event::vm_list_changed,
-                   {{"version", std::to_string(list.version)},
-                    {"previous_version", std::to_string(previous->version)},
-                    {"answer_version", std::to_string(source.version)},
-                    {"source", std::string(source.call)},
-                    {"vms", std::to_string(list.vms.size())},
-                    {"leaving", std::to_string(leaving)},
-                    {"now_live", join_for_log(diff.live)},
-                    {"now_leaving", join_for_log(diff.leaving)},
-                    {"removed", join_for_log(diff.removed)}});
+    telemetry::log(telemetry::log_event::vm_list_changed, {{"version", list.version.text()},
+                                                           {"previous_version", previous->version.text()},
+                                                           {"answer_version", source.version.text()},
+                                                           {"source", std::string(source.call)},
+                                                           {"vms", std::to_string(list.vms.size())},
+                                                           {"leaving", std::to_string(leaving)},
+                                                           {"now_live", join_for_log(diff.live)},
+                                                           {"now_leaving", join_for_log(diff.leaving)},
+                                                           {"removed", join_for_log(diff.removed)}});
 }
 
 void vm_list_publisher::publish_endpoints() {
--- a/packages/daemon/src/vm_list_synchronizer.cpp
+++ b/packages/daemon/src/vm_list_synchronizer.cpp
@@ -35,7 +35,7 @@
         strand_, [self]() { return self->remove_expired(); }, asio::detached);
 }
 
-void vm_list_synchronizer::catch_up(std::uint64_t change_version) {
+void vm_list_synchronizer::catch_up(const object_api::store_revision& change_version) {
     if (change_version <= directory_.version() || catch_up_in_progress_ || platform_.is_failing()) {
         return;
     }
@@ -57,7 +57,7 @@
         strand_, [self, generation]() { return self->watch(generation); }, asio::detached);
 }
 
-asio::awaitable<void> vm_list_synchronizer::read_missed(std::uint64_t store_version) {
+asio::awaitable<void> vm_list_synchronizer::read_missed(object_api::store_revision store_version) {
     if (store_version <= directory_.version()) {
         co_return;
     }
@@ -141,8 +141,7 @@
         directory_.advance_to(unchanged->version);
         return;
     } else if (std::holds_alternative<object_api::history_lost>(answer)) {
-        telemetry::log(telemetry::log_event::history_lost,
-                       {{"version", std::to_string(directory_.version())}});
+        telemetry::log(telemetry::log_event::history_lost, {{"version", directory_.version().text()}});
         directory_.restart_listing();
         return;
     } else {
@@ -152,7 +151,7 @@
 }
 
 void vm_list_synchronizer::apply_peer_list(const object_api::vm_list& list) {
-    if (directory_.version() > 0 || list.version <= shared_.vms.read()->version) {
+    if (!directory_.version().is_unset() || list.version <= shared_.vms.read()->version) {
         return;
     }
     publisher_.publish(list, {"peer", list.version});
--- a/packages/daemon/test/state_synchronizer_test.cpp
+++ b/packages/daemon/test/state_synchronizer_test.cpp
@@ -66,7 +66,7 @@
 
     /// Reports that another daemon's VM list contains a change of this version.
     void report_change(std::uint64_t version) {
-        asio::post(strand_, [this, version]() { synchronizer_->catch_up_vms(version); });
+        asio::post(strand_, [this, version]() { synchronizer_->catch_up_vms({0, version}); });
     }
 
     /// Reports that the daemon at this peer address has a document of this revision.
--- a/packages/emulator/src/internal/platform_json.cpp
+++ b/packages/emulator/src/internal/platform_json.cpp
@@ -49,7 +49,8 @@
                            {"failure_domain", row.failure_domain.text()},
                            {"state", std::string(base::to_name(row.state))}});
         }
-        return http::json_response(200, json{{"version", value.version}, {"vms", std::move(vms)}}.dump());
+        return http::json_response(200,
+                                   json{{"version", value.version.number()}, {"vms", std::move(vms)}}.dump());
     }
 
     http::response operator()(const object_api::failed& value) const {
--- a/packages/emulator/src/internal/platform_state.cpp
+++ b/packages/emulator/src/internal/platform_state.cpp
@@ -156,7 +156,7 @@
     const std::uint64_t after = number_parameter(message, "after");
     state_query query = [this, after](base::time_point at) -> std::optional<object_api::answer> {
         object_api::vm_list list = vms_.visible(at);
-        if (after != 0 && list.version <= after) {
+        if (after != 0 && list.version.number() <= after) {
             return std::nullopt;
         }
         return list;
@@ -243,7 +243,7 @@
     {
         const std::lock_guard<std::mutex> lock(mutex_);
         version = store_.next_version();
-        vms_.set(object_api::vm_list{version, std::move(vms)}, now());
+        vms_.set(object_api::vm_list{{0, version}, std::move(vms)}, now());
     }
     changed_.notify();
     return version;
--- a/packages/membership/include/rattanbay/membership/detector.hpp
+++ b/packages/membership/include/rattanbay/membership/detector.hpp
@@ -83,7 +83,7 @@
 
 /// A member's VM list contains a newer change than this daemon's.
 struct vm_list_change_seen {
-    std::uint64_t version = 0;
+    object_api::store_revision version;
 };
 
 using action = std::variant<send_datagram, member_changed, revision_seen, vm_list_change_seen>;
--- a/packages/membership/src/detector.cpp
+++ b/packages/membership/src/detector.cpp
@@ -203,7 +203,7 @@
 
     void merge(peer::member_record record, bool without_gossip = false) {
         // The value is only current in a member's own datagrams, and 0 takes the least space in others.
-        record.vm_list_change = 0;
+        record.vm_list_change = object_api::store_revision();
         if (record.id == self_.id) {
             refute(record);
             return;
--- a/packages/membership/test/detector_test.cpp
+++ b/packages/membership/test/detector_test.cpp
@@ -164,11 +164,11 @@
         exchange_member_tables(cluster);
         cluster.run(1s);
         for (std::size_t n = 0; n + 1 < size; ++n) {
-            cluster.set_vm_list_change(n, 7);
+            cluster.set_vm_list_change(n, {1, 7});
         }
-        BOOST_TEST(cluster.detector(size - 1).self().vm_list_change == 0U);
+        BOOST_TEST(cluster.detector(size - 1).self().vm_list_change.is_unset());
         cluster.run(2s);
-        BOOST_TEST(cluster.detector(size - 1).self().vm_list_change == 7U);
+        BOOST_TEST(cluster.detector(size - 1).self().vm_list_change.text() == "1:7");
     }
 }
 
--- a/packages/membership/test/simulated_cluster.hpp
+++ b/packages/membership/test/simulated_cluster.hpp
@@ -55,7 +55,7 @@
     }
 
     /// Sets the version of the newest change in the VM list of daemon `n`.
-    void set_vm_list_change(std::size_t n, std::uint64_t version) {
+    void set_vm_list_change(std::size_t n, const rattanbay::object_api::store_revision& version) {
         rattanbay::peer::member_record self = detector(n).self();
         self.vm_list_change = version;
         perform(n, detector(n).handle(rattanbay::membership::self_changed{self}, now_));
--- a/packages/object_api/include/rattanbay/object_api/answer.hpp
+++ b/packages/object_api/include/rattanbay/object_api/answer.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <rattanbay/base/error.hpp>
+#include <rattanbay/object_api/store_revision.hpp>
 #include <rattanbay/object_api/vm_list.hpp>
 
 #include <cstddef>
@@ -17,9 +18,11 @@
     std::uint64_t version = 0;
     /// JSON text.
     std::string value;
-    /// Version of the whole store at the time of the read, for platforms with one version for all objects;
-    /// 0 if the platform has none.
-    std::uint64_t store_version = 0;
+    /// Revision of the whole store at the time of the read, for platforms with one count for all objects;
+    /// unset if the platform has none.
+    store_revision store_version{};
+    /// Revision from which the next watch of the object continues; unset after a read.
+    store_revision next_watch{};
 };
 
 /// The write took effect; `version` is the object's new version.
@@ -40,17 +43,20 @@
 
 /// Nothing changed during the watch's wait time.
 struct unchanged {
-    /// Version up to which nothing changed, for platforms with one version for all objects; 0 if the next
-    /// watch starts from the same version.
-    std::uint64_t version = 0;
+    /// Revision up to which nothing changed, for platforms with one count for all objects; unset if the next
+    /// watch starts from the same revision.
+    store_revision version{};
 };
 
 /// The platform no longer has the history since the version of the watch; the state must be read again.
-struct history_lost {};
+struct history_lost {
+    /// Era of the store; 0 on platforms without eras.
+    std::uint64_t era = 0;
+};
 
 /// A page of the VM list, ordered by name.
 struct vm_page {
-    std::uint64_t version = 0;
+    store_revision version{};
     std::vector<vm> vms;
     /// Cursor of the next page: the last name of this one; nothing if this is the last page.
     std::optional<std::string> next_after;
@@ -58,19 +64,19 @@
     std::size_t unusable_count = 0;
     /// Cursor of this page; empty for the first page.
     std::string after;
-    /// Version of the newest change in the page; at most `version`.
-    std::uint64_t newest_change = 0;
+    /// Revision of the newest change in the page; at most `version`.
+    store_revision newest_change{};
 };
 
 /// Changes of the VM list.
 struct vm_changes {
-    std::uint64_t version = 0;
+    store_revision version{};
     std::vector<vm> changed;
     std::vector<base::vm_id> removed;
     /// Number of entries in `removed` that exist but are unusable.
     std::size_t unusable_count = 0;
-    /// Version of the newest of the changes; at most `version`.
-    std::uint64_t newest_change = 0;
+    /// Revision of the newest of the changes; at most `version`.
+    store_revision newest_change{};
 };
 
 /// Names and versions of the objects of a kind.
--- a/packages/object_api/include/rattanbay/object_api/call.hpp
+++ b/packages/object_api/include/rattanbay/object_api/call.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <rattanbay/base/time.hpp>
+#include <rattanbay/object_api/store_revision.hpp>
 
 #include <cstdint>
 #include <optional>
@@ -45,11 +46,11 @@
     std::string kind;
 };
 
-/// Waits until an object's version exceeds `after`; answered by `object`, `unchanged`, `history_lost` or
-/// `failed`. With `after` 0 it is answered immediately.
+/// Waits until an object changes after the revision `after`; answered by `object`, `unchanged`,
+/// `history_lost` or `failed`. With `after` unset it is answered immediately.
 struct watch_object {
     object_key key;
-    std::uint64_t after = 0;
+    store_revision after{};
     base::duration wait{};
 };
 
@@ -59,10 +60,10 @@
     std::string after;
 };
 
-/// Waits until the VM list's version exceeds `after`; answered by `vm_list`, `vm_changes`, `unchanged`,
-/// `history_lost` or `failed`. With `after` 0 it is answered immediately.
+/// Waits until the VM list changes after the revision `after`; answered by `vm_list`, `vm_changes`,
+/// `unchanged`, `history_lost` or `failed`. With `after` unset it is answered immediately.
 struct watch_vms {
-    std::uint64_t after = 0;
+    store_revision after{};
     base::duration wait{};
 };
 
--- a/packages/object_api/include/rattanbay/object_api/vm_directory.hpp
+++ b/packages/object_api/include/rattanbay/object_api/vm_directory.hpp
@@ -41,7 +41,7 @@
     void apply(const vm_changes& changes, base::time_point now);
 
     /// Records that nothing changed up to `version`.
-    void advance_to(std::uint64_t version);
+    void advance_to(const store_revision& version);
 
     /// Starts reading the list again from its first page, after the history since `version` was lost.
     void restart_listing();
@@ -53,11 +53,11 @@
     bool remove_expired(base::time_point now);
 
     /// Version up to which all changes are known.
-    std::uint64_t version() const { return version_; }
+    const store_revision& version() const { return version_; }
 
     /// Version of the newest change that was applied; at most `version`. A platform whose versions count all
     /// its objects advances `version` without changes of the VM list.
-    std::uint64_t newest_change() const { return newest_change_; }
+    const store_revision& newest_change() const { return newest_change_; }
 
     /// The VMs to use. A missing entry in its grace period is only included if most live entries of its
     /// service are missing: an outage lets all of them expire, while single ones are VMs that have left.
@@ -67,13 +67,13 @@
     struct entry {
         vm listed;
         /// Version of the answer that described the entry last.
-        std::uint64_t version = 0;
+        store_revision version;
         /// Time at which an expired entry is removed.
         std::optional<base::time_point> removal_time;
     };
 
-    void upsert(const vm& listed, std::uint64_t version);
-    void apply_removal(const base::vm_id& id, std::uint64_t version, base::time_point now);
+    void upsert(const vm& listed, const store_revision& version);
+    void apply_removal(const base::vm_id& id, const store_revision& version, base::time_point now);
     /// Services that have more missing entries than live ones.
     std::set<base::service_name> mostly_missing_services() const;
     void handle_missing(std::map<base::vm_id, entry>::iterator it, base::time_point now);
@@ -82,12 +82,12 @@
     std::map<base::vm_id, entry> entries_;
     /// Versions at which VMs were removed while the listing in progress was read. Older pages may contain
     /// them.
-    std::map<base::vm_id, std::uint64_t> removed_versions_;
-    std::uint64_t version_ = 0;
-    std::uint64_t newest_change_ = 0;
+    std::map<base::vm_id, store_revision> removed_versions_;
+    store_revision version_;
+    store_revision newest_change_;
     std::optional<std::string> next_page_after_{""};
     /// Version of the first page; changes are watched from here after the last page.
-    std::uint64_t listing_version_ = 0;
+    store_revision listing_version_;
     base::time_point relisting_deadline_{};
 };
 
--- a/packages/object_api/include/rattanbay/object_api/vm_list.hpp
+++ b/packages/object_api/include/rattanbay/object_api/vm_list.hpp
@@ -3,6 +3,7 @@
 #include <rattanbay/base/address.hpp>
 #include <rattanbay/base/enum_names.hpp>
 #include <rattanbay/base/identifier.hpp>
+#include <rattanbay/object_api/store_revision.hpp>
 
 #include <cstdint>
 #include <vector>
@@ -27,8 +28,8 @@
 
 /// The VM list as reported by the platform; it lags behind the actual state of the VMs.
 struct vm_list {
-    /// Version of the list; 0 if there is none.
-    std::uint64_t version = 0;
+    /// Revision of the store that the list shows; unset if there is none.
+    store_revision version{};
     std::vector<vm> vms;
 
     friend bool operator==(const vm_list&, const vm_list&) = default;
--- a/packages/object_api/src/http_mapping.cpp
+++ b/packages/object_api/src/http_mapping.cpp
@@ -20,9 +20,9 @@
     return std::string(root) + key.kind + "/" + key.name;
 }
 
-std::string watch_query(std::uint64_t after, base::duration wait) {
+std::string watch_query(const store_revision& after, base::duration wait) {
     const std::int64_t milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
-    return "?after=" + std::to_string(after) + "&wait_ms=" + std::to_string(milliseconds);
+    return "?after=" + std::to_string(after.number()) + "&wait_ms=" + std::to_string(milliseconds);
 }
 
 struct request_builder {
@@ -57,7 +57,7 @@
     }
 
     http_call operator()(const list_vms&) const {
-        return {"list_vms", {"GET", "/v1/vms" + watch_query(0, {}), {}, ""}};
+        return {"list_vms", {"GET", "/v1/vms" + watch_query({}, {}), {}, ""}};
     }
 
     http_call operator()(const watch_vms& call) const {
@@ -83,7 +83,7 @@
 
 vm_list parse_vm_list(const json& body) {
     vm_list list;
-    list.version = version_of(body);
+    list.version = store_revision(0, version_of(body));
     for (const json& row : array_of(body, "vms")) {
         const base::result<base::address> address = base::address::parse(string_of(row, "address"));
         const std::optional<vm_state> state = base::from_name<vm_state>(string_of(row, "state"));
@@ -106,7 +106,7 @@
 }
 
 object parse_object(const json& body) {
-    return {version_of(body), body.at("value").dump()};
+    return {version_of(body), body.at("value").dump(), {}, {}};
 }
 
 /// Decodes the body of a response with status 200.
@@ -121,7 +121,11 @@
 
     answer operator()(const list_objects&) const { return parse_object_list(body); }
 
-    answer operator()(const watch_object&) const { return parse_object(body); }
+    answer operator()(const watch_object&) const {
+        object out = parse_object(body);
+        out.next_watch = store_revision(0, out.version);
+        return out;
+    }
 
     answer operator()(const list_vms&) const { return parse_vm_list(body); }
 
--- a/packages/object_api/src/vm_directory.cpp
+++ b/packages/object_api/src/vm_directory.cpp
@@ -7,7 +7,7 @@
 vm_directory::vm_directory(base::duration relisting_grace_period)
     : relisting_grace_period_(relisting_grace_period) {}
 
-void vm_directory::upsert(const vm& listed, std::uint64_t version) {
+void vm_directory::upsert(const vm& listed, const store_revision& version) {
     const auto removed = removed_versions_.find(listed.id);
     if (removed != removed_versions_.end() && removed->second > version) {
         return;
@@ -18,9 +18,9 @@
     }
 }
 
-void vm_directory::apply_removal(const base::vm_id& id, std::uint64_t version, base::time_point now) {
+void vm_directory::apply_removal(const base::vm_id& id, const store_revision& version, base::time_point now) {
     if (next_page_after_) {
-        std::uint64_t& removed = removed_versions_[id];
+        store_revision& removed = removed_versions_[id];
         removed = std::max(removed, version);
     }
     const auto it = entries_.find(id);
@@ -94,7 +94,7 @@
     advance_to(changes.version);
 }
 
-void vm_directory::advance_to(std::uint64_t version) {
+void vm_directory::advance_to(const store_revision& version) {
     version_ = std::max(version_, version);
 }
 
--- a/packages/object_api/test/http_mapping_test.cpp
+++ b/packages/object_api/test/http_mapping_test.cpp
@@ -18,8 +18,8 @@
 const object_api::call create_call = object_api::write_object{key, std::nullopt, "{}"};
 const object_api::call delete_call = object_api::delete_object{key, 4};
 const object_api::call list_call = object_api::list_objects{"documents"};
-const object_api::call watch_call = object_api::watch_object{key, 4, 2500ms};
-const object_api::call vms_call = object_api::watch_vms{4, 2500ms};
+const object_api::call watch_call = object_api::watch_object{key, {0, 4}, 2500ms};
+const object_api::call vms_call = object_api::watch_vms{{0, 4}, 2500ms};
 const std::vector<object_api::call> all_calls{read_call, write_call, create_call, delete_call,
                                               list_call, watch_call, vms_call};
 
@@ -149,7 +149,7 @@
                              vm_row("v4", "10.0.0.4:80", "leaving") + "]}";
     const object_api::answer answer = answer_to(vms_call, 200, body);
     const object_api::vm_list expected{
-        7,
+        {0, 7},
         {{base::vm_id("v1"), base::service_name("desk"), *base::address::parse("10.0.0.1:80"),
           base::failure_domain("a"), object_api::vm_state::live},
          {base::vm_id("v4"), base::service_name("desk"), *base::address::parse("10.0.0.4:80"),
--- a/packages/object_api/test/vm_directory_history_test.cpp
+++ b/packages/object_api/test/vm_directory_history_test.cpp
@@ -45,7 +45,7 @@
 
     void answer_watch(std::uint64_t after) {
         object_api::vm_changes out;
-        out.version = version();
+        out.version = {1, version()};
         for (std::size_t n = 0; n < vm_count; ++n) {
             const std::string name = vm_name(n);
             if (!changed_after(name, after)) {
@@ -63,7 +63,7 @@
 
     void answer_page(const std::string& after) {
         object_api::vm_page out;
-        out.version = version();
+        out.version = {1, version()};
         out.after = after;
         for (auto it = states_.back().upper_bound(after); it != states_.back().end(); ++it) {
             if (out.vms.size() == page_size) {
@@ -121,7 +121,7 @@
     for (std::size_t n = 0; n < vm_count; ++n) {
         const std::string name = vm_name(n);
         bool found = false;
-        for (std::uint64_t at = directory.version(); at <= platform.version(); ++at) {
+        for (std::uint64_t at = directory.version().number(); at <= platform.version(); ++at) {
             found = found || find_state(listed, name) == find_state(platform.state_at(at), name);
         }
         if (!found) {
@@ -140,7 +140,7 @@
         platform.answer_page(*directory.next_page_after());
         platform.deliver(0, directory);
     }
-    platform.answer_watch(directory.version());
+    platform.answer_watch(directory.version().number());
     platform.deliver(0, directory);
 }
 
@@ -156,14 +156,14 @@
         simulated_platform platform;
         object_api::vm_directory directory{base::duration::zero()};
         const std::size_t steps = *rc::gen::inRange<std::size_t>(0, 80);
-        std::uint64_t last_version = 0;
+        object_api::store_revision last_version;
         for (std::size_t n = 0; n < steps; ++n) {
             const int step = *rc::gen::weightedElement<int>({{4, 0}, {3, 1}, {3, 2}, {6, 3}, {1, 4}});
             if (step == 0) {
                 platform.change(vm_name(*rc::gen::inRange<std::size_t>(0, vm_count)),
                                 *rc::gen::inRange(0, 3));
             } else if (step == 1) {
-                platform.answer_watch(directory.version());
+                platform.answer_watch(directory.version().number());
             } else if (step == 2 && directory.next_page_after()) {
                 platform.answer_page(*directory.next_page_after());
             } else if (step == 3 && platform.has_answers()) {
--- a/packages/object_api/test/vm_list_diff_test.cpp
+++ b/packages/object_api/test/vm_list_diff_test.cpp
@@ -29,9 +29,9 @@
 BOOST_AUTO_TEST_CASE(changes_of_state_and_missing_entries_are_found) {
     using object_api::vm_state;
     const object_api::vm_list before{
-        3, {named("a"), named("b"), named("c", vm_state::leaving), named("d", vm_state::leaving)}};
+        {1, 3}, {named("a"), named("b"), named("c", vm_state::leaving), named("d", vm_state::leaving)}};
     const object_api::vm_list after{
-        4, {named("a", vm_state::leaving), named("c"), named("d", vm_state::leaving), named("e")}};
+        {1, 4}, {named("a", vm_state::leaving), named("c"), named("d", vm_state::leaving), named("e")}};
     const object_api::vm_list_diff diff = object_api::vm_list_diff::between(before, after);
     BOOST_TEST(names(diff.live) == "c e ");
     BOOST_TEST(names(diff.leaving) == "a ");
--- a/packages/peer/include/rattanbay/peer/member_record.hpp
+++ b/packages/peer/include/rattanbay/peer/member_record.hpp
@@ -4,6 +4,7 @@
 #include <rattanbay/base/enum_names.hpp>
 #include <rattanbay/base/identifier.hpp>
 #include <rattanbay/base/incarnation.hpp>
+#include <rattanbay/object_api/store_revision.hpp>
 
 #include <cstdint>
 
@@ -31,9 +32,9 @@
     base::incarnation ledger;
     std::uint64_t ledger_window = 0;
     bool ledger_recorded = false;
-    /// Version of the newest change in the VM list in use at the member; 0 if it has none. A change does not
-    /// increase `sequence`.
-    std::uint64_t vm_list_change = 0;
+    /// Revision of the newest change in the VM list in use at the member; unset if it has none. A change does
+    /// not increase `sequence`.
+    object_api::store_revision vm_list_change;
 
     friend bool operator==(const member_record&, const member_record&) = default;
 };
--- a/packages/peer/src/codec.cpp
+++ b/packages/peer/src/codec.cpp
@@ -53,8 +53,9 @@
     }
 
     void operator()(const state_reply& message) const {
-        internal::pack_fields(out, message.document, message.vms.version, message.vms.vms, message.members,
-                              message.quarantined_parts, message.compressed_document);
+        internal::pack_fields(out, message.document, message.vms.version.number(), message.vms.vms,
+                              message.members, message.quarantined_parts, message.compressed_document,
+                              message.vms.version.era());
     }
 
     void operator()(const forward_request& message) const {
@@ -113,10 +114,13 @@
     }
 
     void operator()(state_reply& message) const {
-        internal::unpack_fields(from, message.document, message.vms.version, message.vms.vms,
-                                message.members);
+        std::uint64_t list_number = 0;
+        std::uint64_t list_era = 0;
+        internal::unpack_fields(from, message.document, list_number, message.vms.vms, message.members);
         internal::unpack_optional_field(from, 4, message.quarantined_parts);
         internal::unpack_optional_field(from, 5, message.compressed_document);
+        internal::unpack_optional_field(from, 6, list_era);
+        message.vms.version = object_api::store_revision(list_era, list_number);
     }
 
     void operator()(forward_request& message) const {
--- a/packages/peer/src/internal/wire.hpp
+++ b/packages/peer/src/internal/wire.hpp
@@ -129,7 +129,8 @@
             wire::pack_fields(out, value.id, value.vm, value.failure_domain, value.peer_address,
                               value.caller_address, value.sequence, static_cast<std::uint8_t>(value.status),
                               value.draining, value.revision, value.load, value.ledger, value.ledger_window,
-                              value.ledger_recorded, value.vm_list_change);
+                              value.ledger_recorded, value.vm_list_change.number(),
+                              value.vm_list_change.era());
             return out;
         }
     };
@@ -143,7 +144,11 @@
                                 value.load, value.ledger, value.ledger_window, value.ledger_recorded);
             value.status = wire::checked_enum_cast<rattanbay::peer::member_status>(status, 3);
             constexpr std::uint32_t vm_list_change_index = 13;
-            wire::unpack_optional_field(from, vm_list_change_index, value.vm_list_change);
+            std::uint64_t number = 0;
+            std::uint64_t era = 0;
+            wire::unpack_optional_field(from, vm_list_change_index, number);
+            wire::unpack_optional_field(from, vm_list_change_index + 1, era);
+            value.vm_list_change = rattanbay::object_api::store_revision(era, number);
             return from;
         }
     };
--- a/packages/peer/test/codec_test.cpp
+++ b/packages/peer/test/codec_test.cpp
@@ -30,7 +30,7 @@
     record.ledger = base::incarnation::generate(random);
     record.ledger_window = 77;
     record.ledger_recorded = true;
-    record.vm_list_change = 31;
+    record.vm_list_change = {2, 31};
     return record;
 }
 
@@ -38,15 +38,18 @@
 
 BOOST_AUTO_TEST_SUITE(codec)
 
-// Daemons of earlier versions send records without the version of the VM list.
+// Daemons of earlier versions send records without the position of the VM list, or without its era.
 BOOST_AUTO_TEST_CASE(records_of_earlier_versions_are_read) {
     msgpack::sbuffer buf;
     msgpack::pack(buf, sample_record(1));
     const msgpack::object_handle handle = msgpack::unpack(buf.data(), buf.size());
     msgpack::object packed = handle.get();
-    packed.via.array.size -= 1;
     peer::member_record expected = sample_record(1);
-    expected.vm_list_change = 0;
+    packed.via.array.size -= 1;
+    expected.vm_list_change = {0, 31};
+    BOOST_CHECK(packed.as<peer::member_record>() == expected);
+    packed.via.array.size -= 1;
+    expected.vm_list_change = object_api::store_revision();
     BOOST_CHECK(packed.as<peer::member_record>() == expected);
 }
 
@@ -71,7 +74,7 @@
     BOOST_CHECK(std::get<peer::forward_reply>(*frame).reply == ledger::reply(problem));
 
     const peer::state_reply state{"{}",
-                                  {3,
+                                  {{2, 3},
                                    {object_api::vm{base::vm_id("e"),
                                                    base::service_name("s"),
                                                    {{127, 0, 0, 1}, 80},
--- a/packages/relay/test/balancer_test.cpp
+++ b/packages/relay/test/balancer_test.cpp
@@ -14,7 +14,7 @@
 struct three_endpoint_fixture {
     three_endpoint_fixture()
         : balancer(base::failure_domain("a"), 1) {
-        list.version = 1;
+        list.version = {0, 1};
         list.vms = {make_vm("e1", "desk", "a", 1), make_vm("e2", "desk", "b", 2),
                     make_vm("e3", "desk", "c", 3)};
         balancer.update(list);
@@ -43,7 +43,7 @@
     BOOST_TEST(!balancer.mark_leaving(base::endpoint_id("e1")));
     BOOST_TEST(balancer.generation() != generation);
     BOOST_TEST(balancer.available_endpoints(query.service).size() == 2U);
-    list.version = 2;
+    list.version = {0, 2};
     balancer.update(list);
     for (int n = 0; n < 20; ++n) {
         BOOST_TEST(choose() != "e1");
@@ -103,7 +103,7 @@
     for (const char* const id : {"e1", "e2", "e3"}) {
         balancer.limit_requests(base::endpoint_id(id), {1, 0}, at_ms(0));
     }
-    list.version = 2;
+    list.version = {0, 2};
     balancer.update(list);
     BOOST_TEST(choose().empty());
     BOOST_TEST(!balancer.time_to_resume(query.service, at_ms(0)).has_value());
--- a/packages/routing/experiment/installation.cpp
+++ b/packages/routing/experiment/installation.cpp
@@ -70,7 +70,7 @@
 
 object_api::vm_list make_vm_list(const installation& site) {
     object_api::vm_list list;
-    list.version = 1;
+    list.version = {0, 1};
     // The index continues across services, so that small services do not all lack endpoints in the same
     // failure domains.
     std::size_t next_index = 0;
