--- a/packages/daemon/src/document_synchronizer.cpp
+++ b/packages/daemon/src/document_synchronizer.cpp
@@ -40,6 +40,9 @@
 /// Data that is compressed before other work of the thread runs.
 constexpr std::size_t compression_step_bytes = 32 * 1024;
 constexpr std::size_t max_logged_findings = 8;
+/// Time over which the daemons spread their reads after the store came back from a copy. A change has to be
+/// in force 2 s after the store acknowledged it.
+constexpr std::chrono::milliseconds reread_spread{300};
 
 } // namespace
 
@@ -54,27 +57,53 @@
 
 void document_synchronizer::start() {
     const std::shared_ptr<document_synchronizer> self = shared_from_this();
-    asio::co_spawn(
-        strand_, [self]() { return self->watch(); }, asio::detached);
+    platform_.on_new_era([this]() { watch_anew(); });
+    start_watch();
     asio::co_spawn(
         strand_, [self]() { return self->read_periodically(); }, asio::detached);
 }
 
-asio::awaitable<void> document_synchronizer::watch() {
+void document_synchronizer::start_watch() {
+    const std::shared_ptr<document_synchronizer> self = shared_from_this();
+    const std::uint64_t generation = ++watch_generation_;
+    watched_version_ = {};
+    asio::co_spawn(
+        strand_, [self, generation]() { return self->watch(generation); }, asio::detached);
+}
+
+void document_synchronizer::watch_anew() {
+    const std::shared_ptr<document_synchronizer> self = shared_from_this();
+    // Ends the running watch also if its own answer showed the new era.
+    const std::uint64_t generation = ++watch_generation_;
+    asio::co_spawn(
+        strand_,
+        [self, generation]() -> asio::awaitable<void> {
+            co_await self->platform_.sleep_below(reread_spread);
+            // If the store came back again meanwhile, its later return starts the watch.
+            if (generation == self->watch_generation_) {
+                self->start_watch();
+            }
+        },
+        asio::detached);
+}
+
+asio::awaitable<void> document_synchronizer::watch(std::uint64_t generation) {
     watch_failures failures;
-    while (true) {
+    while (generation == watch_generation_) {
         const object_api::object_key key = config::document_object::key(shared_.settings.environment);
         const object_api::watch_object request{key, watched_version_, failures.wait()};
         object_api::answer answer = co_await platform_.call(request);
+        if (generation != watch_generation_) {
+            co_return;
+        }
         if (object_api::object* object = std::get_if<object_api::object>(&answer)) {
-            watched_version_ = std::max(watched_version_, object->version);
-            co_await offer(std::move(object->value), "watch");
+            watched_version_ = std::max(watched_version_, object->next_watch);
+            co_await offer(std::move(object->value), "watch", platform_.era());
         } else if (const object_api::unchanged* unchanged = std::get_if<object_api::unchanged>(&answer)) {
             watched_version_ = std::max(watched_version_, unchanged->version);
         } else if (std::holds_alternative<object_api::history_lost>(answer)) {
-            telemetry::log(telemetry::log_event::history_lost,
-                           {{"version", std::to_string(watched_version_)}});
-            watched_version_ = 0;
+            telemetry::log(telemetry::log_event::history_lost, {{"version", watched_version_.text()}});
+            watched_version_ = object_api::store_revision();
         }
         const bool usable = !std::holds_alternative<object_api::failed>(answer) &&
                             !std::holds_alternative<object_api::not_found>(answer);
@@ -96,11 +125,11 @@
         co_await platform_.sleep_about(read_interval());
         // A watch from version 0 returns immediately, also if the store's watches report no changes.
         const object_api::watch_object request{
-            config::document_object::key(shared_.settings.environment), 0, {}};
+            config::document_object::key(shared_.settings.environment), {}, {}};
         object_api::answer answer = co_await platform_.call(request);
         if (object_api::object* object = std::get_if<object_api::object>(&answer)) {
-            const std::uint64_t store_version = object->store_version;
-            co_await offer(std::move(object->value), "read");
+            const object_api::store_revision store_version = object->store_version;
+            co_await offer(std::move(object->value), "read", platform_.era());
             co_await handlers_.on_store_version(store_version);
         }
     }
@@ -113,7 +142,7 @@
     if (object == nullptr) {
         co_return false;
     }
-    co_await offer(std::move(object->value), "read");
+    co_await offer(std::move(object->value), "read", platform_.era());
     co_return true;
 }
 
@@ -183,9 +212,10 @@
     return holders[random_.below(holders.size())];
 }
 
-asio::awaitable<void> document_synchronizer::offer(std::string value, std::string_view source) {
+asio::awaitable<void> document_synchronizer::offer(std::string value, std::string_view source,
+                                                   std::uint64_t era) {
     const std::shared_ptr<document_synchronizer> self = shared_from_this();
-    offered_.push_back(offered_document{std::move(value), source, now()});
+    offered_.push_back(offered_document{std::move(value), source, now(), era});
     while (loading_) {
         boost::system::error_code ec;
         co_await loaded_.async_wait(asio::redirect_error(asio::use_awaitable, ec));
@@ -201,12 +231,14 @@
         offered_document next = std::move(offered_.front());
         offered_.pop_front();
         const base::hash128 hash = base::fast_hash(next.value);
-        if (hash == decided_hash_) {
+        const std::uint64_t era = next.era;
+        if (hash == decided_hash_ && era <= decided_era_) {
             shared_.metrics.record_document("ignored");
             continue;
         }
         co_await load(std::move(next));
         decided_hash_ = hash;
+        decided_era_ = era;
     }
     loading_ = false;
     loaded_.cancel();
@@ -247,7 +279,7 @@
     std::shared_ptr<const config::environment_document> document = builder.finish();
     co_await yield();
     const std::uint64_t revision = document->revision;
-    decide(adoption_.offer(std::move(document)), offered, bytes);
+    decide(adoption_.offer(std::move(document), offered.era), offered, bytes);
     telemetry::log(telemetry::log_event::document_read,
                    {{"revision", std::to_string(revision)},
                     {"source", std::string(offered.source)},
@@ -345,8 +377,8 @@
 }
 
 asio::awaitable<std::string> document_synchronizer::compressed() {
-    const std::uint64_t revision = adoption_.revision();
-    if (compressed_revision_ != revision) {
+    const std::shared_ptr<const config::environment_document> document = adoption_.current();
+    if (compressed_document_ != document) {
         const std::string value = serialized();
         compressor work(value.size());
         for (std::size_t start = 0; start < value.size(); start += compression_step_bytes) {
@@ -354,7 +386,7 @@
             co_await yield();
         }
         compressed_ = std::move(work).finish();
-        compressed_revision_ = revision;
+        compressed_document_ = document;
     }
     co_return compressed_;
 }
--- a/packages/daemon/src/internal/document_synchronizer.hpp
+++ b/packages/daemon/src/internal/document_synchronizer.hpp
@@ -26,7 +26,7 @@
 public:
     using revision_handler = std::function<void(std::uint64_t)>;
     /// Called with the version of the whole store at the time of a read.
-    using store_version_handler = std::function<asio::awaitable<void>(std::uint64_t)>;
+    using store_version_handler = std::function<asio::awaitable<void>(object_api::store_revision)>;
     /// Requests the state of another daemon and offers the document in it.
     using state_fetcher = std::function<asio::awaitable<bool>(base::address, base::duration)>;
 
@@ -56,8 +56,9 @@
     asio::awaitable<bool> read();
 
     /// Reads a document and adopts it if it is newer. Returns when this and all earlier offers are decided.
-    /// `source` names where it was found, for the log.
-    asio::awaitable<void> offer(std::string value, std::string_view source);
+    /// `source` names where it was found, for the log. `era` is the era of the store that gave it; 0 if a
+    /// peer did.
+    asio::awaitable<void> offer(std::string value, std::string_view source, std::uint64_t era = 0);
 
     asio::awaitable<void> offer_compressed(std::string bytes);
 
@@ -75,9 +76,14 @@
         std::string value;
         std::string_view source;
         base::time_point arrival;
+        std::uint64_t era = 0;
     };
 
-    asio::awaitable<void> watch();
+    void start_watch();
+    asio::awaitable<void> watch(std::uint64_t generation);
+    /// Reads the document and watches it anew after the store came back from a copy, whose revisions are
+    /// unrelated to those of the running watch.
+    void watch_anew();
     base::duration read_interval() const;
     asio::awaitable<void> read_periodically();
     asio::awaitable<void> fetch_wanted();
@@ -99,14 +105,19 @@
     config::document_adoption adoption_;
     base::random_source random_;
     /// Version of the store up to which the watch has seen all changes.
-    std::uint64_t watched_version_ = 0;
+    object_api::store_revision watched_version_;
+    /// Number of the current watch. Earlier ones end with their next answer.
+    std::uint64_t watch_generation_ = 0;
     std::deque<offered_document> offered_;
     bool loading_ = false;
     /// Cancelled when no offer is left to decide.
     asio::steady_timer loaded_;
-    /// Hash of the document that was decided last. The same document is offered again by each read.
+    /// Hash of the document that was decided last and the era in which it was offered. The same document is
+    /// offered again by each read.
     base::hash128 decided_hash_;
-    std::uint64_t compressed_revision_ = 0;
+    std::uint64_t decided_era_ = 0;
+    /// Document of which `compressed_` was made.
+    std::shared_ptr<const config::environment_document> compressed_document_;
     std::string compressed_;
     std::uint64_t offered_revision_ = 0;
     std::uint64_t wanted_revision_ = 0;
