Read the VM list anew in each era of the store

After a return of the store from a copy, its count goes back. A watch from a position of the earlier era was answered with 410 only until the new count had passed it; after that it went on, and what changed in between was never delivered. A listing over a return was assembled from pages of both eras.

The directory starts the list again on the first answer of a newer era, ignores pages and changes of earlier ones, and keeps the version of its list until the new one is complete. A 410 restarts the listing only if the list was not read since and no listing of that era is in progress, so a watch that ends late causes no second one. The line history_lost names the era.

--- a/packages/daemon/src/internal/vm_list_synchronizer.hpp
+++ b/packages/daemon/src/internal/vm_list_synchronizer.hpp
@@ -43,9 +43,10 @@
     /// Watches the list until another watch is started.
     asio::awaitable<void> watch(std::uint64_t generation);
     asio::awaitable<void> remove_expired();
-    /// Whether the answer is a list or a page that is too old to be applied.
+    /// Whether the answer is a list or a page that is too old to be applied, or a watch's of an earlier era.
     bool is_stale_list(const object_api::answer& answer) const;
-    void apply(const object_api::answer& answer);
+    /// Applies the answer to a call that was made when the list had the version `asked_at`.
+    void apply(const object_api::answer& answer, const object_api::store_revision& asked_at);
 
     shared_state& shared_;
     control_strand strand_;
--- a/packages/daemon/src/vm_list_synchronizer.cpp
+++ b/packages/daemon/src/vm_list_synchronizer.cpp
@@ -67,10 +67,11 @@
     }
     directory_.restart_listing();
     while (directory_.next_page_after()) {
+        const object_api::store_revision asked_at = directory_.version();
         const object_api::list_vms request{*directory_.next_page_after()};
         const object_api::answer answer = co_await platform_.call(request);
         const bool is_stale = is_stale_list(answer);
-        apply(answer);
+        apply(answer, asked_at);
         if (std::holds_alternative<object_api::failed>(answer)) {
             co_return;
         }
@@ -85,13 +86,14 @@
 asio::awaitable<void> vm_list_synchronizer::watch(std::uint64_t generation) {
     watch_failures failures;
     while (generation == watch_generation_) {
-        object_api::call request = object_api::watch_vms{directory_.version(), failures.wait()};
+        const object_api::store_revision asked_at = directory_.version();
+        object_api::call request = object_api::watch_vms{asked_at, failures.wait()};
         if (directory_.next_page_after()) {
             request = object_api::list_vms{*directory_.next_page_after()};
         }
         const object_api::answer answer = co_await platform_.call(request);
         const bool usable = !std::holds_alternative<object_api::failed>(answer) && !is_stale_list(answer);
-        apply(answer);
+        apply(answer, asked_at);
         failures.record(usable);
         if (failures.last_failed()) {
             co_await platform_.back_off("watch_vms", failures.count(), answer);
@@ -117,10 +119,14 @@
 bool vm_list_synchronizer::is_stale_list(const object_api::answer& answer) const {
     const object_api::vm_list* const list = std::get_if<object_api::vm_list>(&answer);
     const object_api::vm_page* const page = std::get_if<object_api::vm_page>(&answer);
-    return (list != nullptr && directory_.is_stale(*list)) || (page != nullptr && directory_.is_stale(*page));
+    const object_api::history_lost* const lost = std::get_if<object_api::history_lost>(&answer);
+    return (list != nullptr && directory_.is_stale(*list)) ||
+           (page != nullptr && directory_.is_stale(*page)) ||
+           (lost != nullptr && lost->era != 0 && lost->era < directory_.era());
 }
 
-void vm_list_synchronizer::apply(const object_api::answer& answer) {
+void vm_list_synchronizer::apply(const object_api::answer& answer,
+                                 const object_api::store_revision& asked_at) {
     const std::optional<vm_list_source> source = vm_list_source_of(answer, directory_.version());
     if (source) {
         publisher_.record_answer(*source, directory_.version(),
@@ -137,12 +143,16 @@
     } else if (const object_api::vm_changes* changes = std::get_if<object_api::vm_changes>(&answer)) {
         directory_.apply(*changes, now());
         vm_list_publisher::log_unusable_entries(changes->unusable_count);
+        if (directory_.version().era() != changes->version.era()) {
+            return;
+        }
     } else if (const object_api::unchanged* unchanged = std::get_if<object_api::unchanged>(&answer)) {
         directory_.advance_to(unchanged->version);
         return;
-    } else if (std::holds_alternative<object_api::history_lost>(answer)) {
-        telemetry::log(telemetry::log_event::history_lost, {{"version", directory_.version().text()}});
-        directory_.restart_listing();
+    } else if (const object_api::history_lost* lost = std::get_if<object_api::history_lost>(&answer)) {
+        telemetry::log(telemetry::log_event::history_lost,
+                       {{"version", asked_at.text()}, {"era", std::to_string(lost->era)}});
+        directory_.lose_history(asked_at, lost->era);
         return;
     } else {
         return;
--- a/packages/object_api/include/rattanbay/object_api/vm_directory.hpp
+++ b/packages/object_api/include/rattanbay/object_api/vm_directory.hpp
@@ -13,9 +13,11 @@
 namespace rattanbay::object_api {
 
 /// The VM list, assembled from pages and incremental changes. Answers of concurrent calls may be applied in
-/// any order: an entry is only replaced by an answer of a version that is at least as high. Entries that
-/// expired during an outage of the platform are kept for a grace period after its recovery, because their VMs
-/// may be healthy and need time to register again.
+/// any order: an entry is only replaced by an answer of a version that is at least as high. An answer of a
+/// newer era starts the list again from its first page, and answers of earlier eras are ignored from then on;
+/// the entries remain listed until the new list is complete. Entries that expired during an outage of the
+/// platform are kept for a grace period after its recovery, because their VMs may be healthy and need time to
+/// register again.
 class vm_directory {
 public:
     /// `relisting_grace_period` is the time a VM may take to register again after an outage.
@@ -25,10 +27,10 @@
     const std::optional<std::string>& next_page_after() const { return next_page_after_; }
 
     /// Whether a complete list is older than this one, so that `apply` ignores it.
-    bool is_stale(const vm_list& list) const { return list.version < version_; }
+    bool is_stale(const vm_list& list) const { return list.version < version_ || list.version.era() < era_; }
 
-    /// Whether a page is older than the list, or than the first page of the listing in progress, so that
-    /// `apply` ignores it.
+    /// Whether a page is of an earlier era, or older than the list or than the first page of the listing in
+    /// progress, so that `apply` ignores it.
     bool is_stale(const vm_page& page) const;
 
     /// Applies a page of the list. Entries that are in none of the pages are removed with the last page.
@@ -46,6 +48,14 @@
     /// Starts reading the list again from its first page, after the history since `version` was lost.
     void restart_listing();
 
+    /// Starts reading the list again if a watch from `after` found that the history since then is lost in
+    /// this era of the store, or in an unknown one, 0. Does nothing if the list was read since, or if a
+    /// listing of this era is in progress.
+    void lose_history(const store_revision& after, std::uint64_t era);
+
+    /// Newest known era of the store.
+    std::uint64_t era() const { return era_; }
+
     /// Starts the grace period after an outage of the platform.
     void platform_recovered(base::time_point now);
 
@@ -72,6 +82,8 @@
         std::optional<base::time_point> removal_time;
     };
 
+    /// Starts reading the list again if the era is newer than the known ones.
+    void observe_era(std::uint64_t era);
     void upsert(const vm& listed, const store_revision& version);
     void apply_removal(const base::vm_id& id, const store_revision& version, base::time_point now);
     /// Services that have more missing entries than live ones.
@@ -84,6 +96,7 @@
     /// them.
     std::map<base::vm_id, store_revision> removed_versions_;
     store_revision version_;
+    std::uint64_t era_ = 0;
     store_revision newest_change_;
     std::optional<std::string> next_page_after_{""};
     /// Version of the first page; changes are watched from here after the last page.
--- a/packages/object_api/src/vm_directory.cpp
+++ b/packages/object_api/src/vm_directory.cpp
@@ -40,10 +40,11 @@
 }
 
 bool vm_directory::is_stale(const vm_page& page) const {
-    return page.version < (page.after.empty() ? version_ : listing_version_);
+    return page.version.era() < era_ || page.version < (page.after.empty() ? version_ : listing_version_);
 }
 
 void vm_directory::apply(const vm_page& page, base::time_point now) {
+    observe_era(page.version.era());
     if (!next_page_after_ || *next_page_after_ != page.after || is_stale(page)) {
         return;
     }
@@ -75,13 +76,16 @@
     if (is_stale(list)) {
         return;
     }
+    observe_era(list.version.era());
     next_page_after_ = "";
     apply(vm_page{list.version, list.vms, std::nullopt, 0, {}, list.version}, now);
 }
 
 void vm_directory::apply(const vm_changes& changes, base::time_point now) {
-    // The list was read again since the watch started, so these changes are stale.
-    if (changes.version < version_) {
+    observe_era(changes.version.era());
+    // Changes of another era than the list's say nothing about what was changed in between. Changes older
+    // than the list are stale, because it was read again since the watch started.
+    if (changes.version.era() != version_.era() || changes.version < version_) {
         return;
     }
     for (const vm& listed : changes.changed) {
@@ -95,13 +99,30 @@
 }
 
 void vm_directory::advance_to(const store_revision& version) {
-    version_ = std::max(version_, version);
+    observe_era(version.era());
+    if (version.era() == version_.era()) {
+        version_ = std::max(version_, version);
+    }
 }
 
 void vm_directory::restart_listing() {
     next_page_after_ = "";
 }
 
+void vm_directory::lose_history(const store_revision& after, std::uint64_t era) {
+    observe_era(era);
+    if ((era == era_ || era == 0) && after >= version_ && !next_page_after_) {
+        restart_listing();
+    }
+}
+
+void vm_directory::observe_era(std::uint64_t era) {
+    if (era > era_) {
+        era_ = era;
+        restart_listing();
+    }
+}
+
 void vm_directory::platform_recovered(base::time_point now) {
     relisting_deadline_ = now + relisting_grace_period_;
 }
--- a/packages/object_api/test/vm_directory_test.cpp
+++ b/packages/object_api/test/vm_directory_test.cpp
@@ -158,4 +158,26 @@
     BOOST_TEST(names(directory) == "a b c ");
 }
 
+// Guards against a list assembled from pages of two eras, whose watch would go on from the count of the
+// first.
+BOOST_FIXTURE_TEST_CASE(a_page_of_a_newer_era_starts_the_listing_again, listed) {
+    directory.restart_listing();
+    directory.apply(object_api::vm_page{{1, 20}, {named("a"), named("b")}, "b", 0, ""}, at_ms(0));
+    directory.apply(object_api::vm_page{{2, 5}, {named("c")}, std::nullopt, 0, "b"}, at_ms(0));
+    BOOST_TEST(directory.next_page_after().value_or("complete") == "");
+    directory.apply(object_api::vm_page{{2, 5}, {named("d")}, std::nullopt, 0, ""}, at_ms(0));
+    BOOST_TEST(names(directory) == "d ");
+    BOOST_TEST(directory.version().text() == "2:5");
+}
+
+// Guards against a late answer of an earlier era that takes the place of the listing of the new one.
+BOOST_FIXTURE_TEST_CASE(a_page_of_an_earlier_era_does_not_start_a_listing, listed) {
+    directory.apply(object_api::vm_page{{2, 5}, {named("a")}, "a", 0, ""}, at_ms(0));
+    BOOST_TEST(directory.next_page_after().value_or("complete") == "a");
+    directory.restart_listing();
+    directory.apply(object_api::vm_page{{1, 30}, {named("z")}, std::nullopt, 0, ""}, at_ms(0));
+    BOOST_TEST(directory.next_page_after().value_or("complete") == "");
+    BOOST_TEST(directory.version().text() == "1:10");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
