Apply a changed idle timeout to connections that are idle

A connection that was already idle kept the limit that was in force when its wait began. When a configuration raised the limit, clients that rely on the new one had their connections closed by the former; when it lowered the limit, idle connections stayed open for longer.

set_limits now repeats the wait of idle connections with the new limit, counted from the end of their last response.

On the code before: a_longer_limit_applies_to_idle_connections fails, as the second request gets no answer, and a run of the suite with a_shorter_limit_applies_to_idle_connections did not end within 8 s.

--- a/packages/http/include/rattanbay/http/server.hpp
+++ b/packages/http/include/rattanbay/http/server.hpp
@@ -107,7 +107,8 @@
     /// and requests.
     virtual void disable_keep_alive() = 0;
 
-    /// Replaces the limits; each connection applies them from its next request.
+    /// Replaces the limits. Each connection applies them from its next request; a changed idle timeout also
+    /// applies to connections that are idle, counted from the end of their last response.
     virtual void set_limits(server_limits limits) = 0;
 
     /// Number of open connections.
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -69,9 +69,10 @@
     /// Serves requests until the connection ends.
     asio::awaitable<void> run();
 
-    /// Ends the wait for a request, if there is one. The socket stays open: a request that has arrived, or
-    /// whose bytes were read but not yet handled, is still answered.
-    void close_if_idle() {
+    /// Cancels the wait for a request, if there is one, so that it is repeated with the limits in force or,
+    /// in a planned stop, ends. The socket stays open: a request that has arrived, or whose bytes were read
+    /// but not yet handled, is still answered.
+    void cancel_wait() {
         if (!request_active_) {
             error_code ignored;
             stream_.socket().cancel(ignored);
@@ -143,13 +144,7 @@
             error_code ignored;
             self->acceptor_.close(ignored);
         });
-        const std::lock_guard<std::mutex> lock(mutex_);
-        for (const std::pair<const session* const, std::weak_ptr<session>>& entry : sessions_) {
-            const std::shared_ptr<session> open = entry.second.lock();
-            if (open) {
-                asio::post(open->executor(), [open]() { open->close_if_idle(); });
-            }
-        }
+        cancel_waits();
     }
 
     std::size_t open_connections() const override {
@@ -168,7 +163,11 @@
     bool keep_alive_enabled() const { return keep_alive_.load() && !shutting_down(); }
 
     void set_limits(server_limits limits) override {
+        const base::duration previous = limits_.read()->idle_timeout;
         limits_.publish(std::make_shared<server_limits>(limits));
+        if (limits.idle_timeout != previous) {
+            cancel_waits();
+        }
     }
 
     server_limits limits() const { return *limits_.read(); }
@@ -193,6 +192,16 @@
     }
 
 private:
+    void cancel_waits() {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        for (const std::pair<const session* const, std::weak_ptr<session>>& entry : sessions_) {
+            const std::shared_ptr<session> open = entry.second.lock();
+            if (open) {
+                asio::post(open->executor(), [open]() { open->cancel_wait(); });
+            }
+        }
+    }
+
     asio::awaitable<void> accept_connections(std::shared_ptr<beast_server> self) {
         constexpr std::chrono::milliseconds accept_retry_delay{50};
         while (!shutting_down()) {
@@ -282,18 +291,24 @@
     if (server_->shutting_down()) {
         co_return take_arrived_bytes(asio::error::operation_aborted);
     }
-    error_code ec;
     stream_.expires_never();
-    read_timeout idle_timeout(stream_, server_->limits().idle_timeout);
-    const std::size_t size = co_await stream_.async_read_some(buffer_.prepare(read_bytes),
-                                                              asio::redirect_error(asio::use_awaitable, ec));
-    ec = idle_timeout.finish(ec);
-    if (!ec) {
-        commit_received(size);
-    } else if (ec == beast::error::timeout || ec == asio::error::operation_aborted) {
-        // The read was cancelled by the timer or by a planned stop. If the thread was held, the bytes of a
-        // request may have arrived before that and wait in the socket.
-        ec = take_arrived_bytes(ec);
+    const std::chrono::steady_clock::time_point idle_since = std::chrono::steady_clock::now();
+    error_code ec = asio::error::operation_aborted;
+    // The wait is cancelled without a timeout when the limits change.
+    while (ec == asio::error::operation_aborted && !server_->shutting_down()) {
+        const base::duration idle_time =
+            std::chrono::duration_cast<base::duration>(std::chrono::steady_clock::now() - idle_since);
+        read_timeout idle_timeout(stream_, server_->limits().idle_timeout - idle_time);
+        const std::size_t size = co_await stream_.async_read_some(
+            buffer_.prepare(read_bytes), asio::redirect_error(asio::use_awaitable, ec));
+        ec = idle_timeout.finish(ec);
+        if (!ec) {
+            commit_received(size);
+        } else if (ec == beast::error::timeout || ec == asio::error::operation_aborted) {
+            // If the thread was held, the bytes of a request may have arrived before the wait was cancelled
+            // and still be in the socket.
+            ec = take_arrived_bytes(ec);
+        }
     }
     co_return ec;
 }
