Keep what is known of departures when the store comes back from a copy

A copy shows endpoints as live that announced their end or left after it was made. A daemon that had acknowledged that would send them requests again, up to the time at which the endpoint or the store corrects the entry, and the address may have another owner by then (DRAIN).

vm_directory remembers departures for 60 s by identifier and start time (decoded from the entry). An endpoint that was leaving stays so until it starts anew. One that was removed is listed as leaving until its entry is written in the new era, or the store has kept it for longer than an entry lives that nothing renews. Entries that the copy lacks have the grace period of an outage to return.

--- a/packages/object_api/include/rattanbay/object_api/vm_directory.hpp
+++ b/packages/object_api/include/rattanbay/object_api/vm_directory.hpp
@@ -56,10 +56,16 @@
     /// Newest known era of the store.
     std::uint64_t era() const { return era_; }
 
+    /// Starts reading the list again if the store has come back from a copy and begun this era. The copy may
+    /// show VMs as live that have left since. One that was leaving stays so until it starts anew. One that
+    /// was removed is listed as leaving until the platform would have removed its entry again.
+    void begin_era(std::uint64_t era, base::time_point now);
+
     /// Starts the grace period after an outage of the platform.
     void platform_recovered(base::time_point now);
 
-    /// Removes the entries whose grace period has ended; returns whether any were removed.
+    /// Removes the entries whose grace period has ended, and lists those again that a copy restored and the
+    /// platform kept; returns whether the list changed.
     bool remove_expired(base::time_point now);
 
     /// Version up to which all changes are known.
@@ -80,11 +86,23 @@
         store_revision version;
         /// Time at which an expired entry is removed.
         std::optional<base::time_point> removal_time;
+        /// Time until which an entry that a copy restored is listed as leaving.
+        std::optional<base::time_point> restored_until;
+    };
+
+    /// A VM that was leaving or was removed, by its identifier.
+    struct departure {
+        std::uint64_t started_ms = 0;
+        /// Era in which it was removed; nothing if it was leaving.
+        std::optional<std::uint64_t> removed_in;
+        base::time_point time;
     };
 
     /// Starts reading the list again if the era is newer than the known ones.
     void observe_era(std::uint64_t era);
-    void upsert(const vm& listed, const store_revision& version);
+    void upsert(const vm& listed, const store_revision& version, base::time_point now);
+    /// Records that the VM is leaving, or that it was removed.
+    void record_departure(const vm& listed, bool is_removed, base::time_point now);
     void apply_removal(const base::vm_id& id, const store_revision& version, base::time_point now);
     /// Services that have more missing entries than live ones.
     std::set<base::service_name> mostly_missing_services() const;
@@ -95,6 +113,8 @@
     /// Versions at which VMs were removed while the listing in progress was read. Older pages may contain
     /// them.
     std::map<base::vm_id, store_revision> removed_versions_;
+    /// Departures of the last `departure_memory`.
+    std::map<base::vm_id, departure> departures_;
     store_revision version_;
     std::uint64_t era_ = 0;
     store_revision newest_change_;
--- a/packages/object_api/include/rattanbay/object_api/vm_list.hpp
+++ b/packages/object_api/include/rattanbay/object_api/vm_list.hpp
@@ -22,6 +22,9 @@
     vm_state state = vm_state::live;
     /// Concurrent requests the VM reports to support; 0 if unknown.
     std::uint32_t slots = 0;
+    /// Start of the VM's process in Unix milliseconds, which tells it from an earlier one under the same
+    /// identifier; 0 if unknown.
+    std::uint64_t started_ms = 0;
 
     friend bool operator==(const vm&, const vm&) = default;
 };
--- a/packages/object_api/src/vm_directory.cpp
+++ b/packages/object_api/src/vm_directory.cpp
@@ -4,20 +4,56 @@
 
 namespace rattanbay::object_api {
 
+namespace {
+
+/// Time for which departures are remembered; a copy of the store is some seconds old.
+constexpr std::chrono::seconds departure_memory{60};
+/// Time after which the platform has removed an entry that its VM does not renew: three heartbeats of 1.2 s
+/// and the delay of the removal.
+constexpr std::chrono::milliseconds unrenewed_entry_lifetime{4500};
+
+} // namespace
+
 vm_directory::vm_directory(base::duration relisting_grace_period)
     : relisting_grace_period_(relisting_grace_period) {}
 
-void vm_directory::upsert(const vm& listed, const store_revision& version) {
+void vm_directory::upsert(const vm& listed, const store_revision& version, base::time_point now) {
     const auto removed = removed_versions_.find(listed.id);
     if (removed != removed_versions_.end() && removed->second > version) {
         return;
     }
     entry& current = entries_[listed.id];
-    if (current.version <= version) {
-        current = entry{listed, version, std::nullopt};
+    if (current.version > version) {
+        return;
+    }
+    current = entry{listed, version, std::nullopt, std::nullopt};
+    if (listed.state == vm_state::leaving) {
+        record_departure(listed, false, now);
+        return;
+    }
+    const auto left = departures_.find(listed.id);
+    const bool is_known =
+        left != departures_.end() && listed.started_ms != 0 && left->second.started_ms == listed.started_ms;
+    if (is_known && !left->second.removed_in) {
+        current.listed.state = vm_state::leaving;
+    } else if (is_known && *left->second.removed_in < version.era()) {
+        current.restored_until = now + unrenewed_entry_lifetime;
+    } else if (is_known) {
+        departures_.erase(left);
     }
 }
 
+void vm_directory::record_departure(const vm& listed, bool is_removed, base::time_point now) {
+    if (listed.started_ms == 0) {
+        return;
+    }
+    departure& known = departures_[listed.id];
+    const bool was_leaving = known.started_ms == listed.started_ms && !known.removed_in;
+    // One that was leaving before it was removed does not come back.
+    const bool may_return = is_removed && !was_leaving;
+    known = departure{listed.started_ms, may_return ? std::optional(era_) : std::nullopt, now};
+}
+
 void vm_directory::apply_removal(const base::vm_id& id, const store_revision& version, base::time_point now) {
     if (next_page_after_) {
         store_revision& removed = removed_versions_[id];
@@ -33,6 +69,7 @@
 void vm_directory::handle_missing(std::map<base::vm_id, entry>::iterator it, base::time_point now) {
     // A leaving VM does not register again, so its entry needs no grace period.
     if (now >= relisting_deadline_ || it->second.listed.state == vm_state::leaving) {
+        record_departure(it->second.listed, true, now);
         entries_.erase(it);
     } else if (!it->second.removal_time) {
         it->second.removal_time = relisting_deadline_;
@@ -53,7 +90,7 @@
         removed_versions_.clear();
     }
     for (const vm& listed : page.vms) {
-        upsert(listed, page.version);
+        upsert(listed, page.version, now);
     }
     newest_change_ = std::max(newest_change_, page.newest_change);
     next_page_after_ = page.next_after;
@@ -89,7 +126,12 @@
         return;
     }
     for (const vm& listed : changes.changed) {
-        upsert(listed, changes.version);
+        // Written since the list was read, so the VM runs even if it was removed in an earlier era.
+        const auto left = departures_.find(listed.id);
+        if (left != departures_.end() && left->second.removed_in) {
+            departures_.erase(left);
+        }
+        upsert(listed, changes.version, now);
     }
     for (const base::vm_id& id : changes.removed) {
         apply_removal(id, changes.version, now);
@@ -123,14 +165,29 @@
     }
 }
 
+void vm_directory::begin_era(std::uint64_t era, base::time_point now) {
+    observe_era(era);
+    // What registered after the copy was made registers again.
+    platform_recovered(now);
+}
+
 void vm_directory::platform_recovered(base::time_point now) {
     relisting_deadline_ = now + relisting_grace_period_;
 }
 
 bool vm_directory::remove_expired(base::time_point now) {
-    return std::erase_if(entries_, [now](const auto& row) {
-               return row.second.removal_time && *row.second.removal_time <= now;
-           }) > 0;
+    std::erase_if(departures_, [now](const auto& row) { return row.second.time + departure_memory <= now; });
+    bool changed = std::erase_if(entries_, [now](const auto& row) {
+                       return row.second.removal_time && *row.second.removal_time <= now;
+                   }) > 0;
+    for (std::pair<const base::vm_id, entry>& row : entries_) {
+        if (row.second.restored_until && *row.second.restored_until <= now) {
+            row.second.restored_until = std::nullopt;
+            departures_.erase(row.first);
+            changed = true;
+        }
+    }
+    return changed;
 }
 
 std::set<base::service_name> vm_directory::mostly_missing_services() const {
@@ -165,6 +222,7 @@
     for (const std::pair<const base::vm_id, entry>& row : entries_) {
         if (!row.second.removal_time || mostly_missing.contains(row.second.listed.service)) {
             out.vms.push_back(row.second.listed);
+            out.vms.back().state = row.second.restored_until ? vm_state::leaving : out.vms.back().state;
         }
     }
     return out;
