Read the VM list anew whenever any answer shows a new era

The list learned of a new era from its own answers only. Its watch may wait for many seconds at a revision that the new count has passed, without events, while the document's calls know of the return (found in review). The list now hears of it from the session, ends the running watch and reads anew within 0.3 s, spread at random over the daemons.

--- a/packages/daemon/src/internal/vm_list_synchronizer.hpp
+++ b/packages/daemon/src/internal/vm_list_synchronizer.hpp
@@ -40,6 +40,9 @@
 
 private:
     void start_watch();
+    /// Reads the list anew after the store came back from a copy. The running watch ends, also if its
+    /// connection is silent.
+    void begin_era();
     /// Watches the list until another watch is started.
     asio::awaitable<void> watch(std::uint64_t generation);
     asio::awaitable<void> remove_expired();
--- a/packages/daemon/src/vm_list_synchronizer.cpp
+++ b/packages/daemon/src/vm_list_synchronizer.cpp
@@ -17,6 +17,8 @@
 constexpr std::chrono::milliseconds max_watch_lag{400};
 /// Interval of the check for expired entries whose grace period has ended.
 constexpr std::chrono::milliseconds expiry_check_interval{250};
+/// Time over which the daemons spread the reads of the list after the store came back from a copy.
+constexpr std::chrono::milliseconds relisting_spread{300};
 
 } // namespace
 
@@ -30,11 +32,28 @@
 
 void vm_list_synchronizer::start() {
     const std::shared_ptr<vm_list_synchronizer> self = shared_from_this();
+    platform_.on_new_era([this]() { begin_era(); });
     start_watch();
     asio::co_spawn(
         strand_, [self]() { return self->remove_expired(); }, asio::detached);
 }
 
+void vm_list_synchronizer::begin_era() {
+    directory_.begin_era(platform_.era(), now());
+    const std::shared_ptr<vm_list_synchronizer> self = shared_from_this();
+    const std::uint64_t generation = ++watch_generation_;
+    asio::co_spawn(
+        strand_,
+        [self, generation]() -> asio::awaitable<void> {
+            co_await self->platform_.sleep_below(relisting_spread);
+            // If the store came back again meanwhile, its later return starts the watch.
+            if (generation == self->watch_generation_) {
+                self->start_watch();
+            }
+        },
+        asio::detached);
+}
+
 void vm_list_synchronizer::catch_up(const object_api::store_revision& change_version) {
     if (change_version <= directory_.version() || catch_up_in_progress_ || platform_.is_failing()) {
         return;
