--- a/packages/http/include/rattanbay/http/unanswered_request.hpp
+++ b/packages/http/include/rattanbay/http/unanswered_request.hpp
@@ -24,8 +24,6 @@
     handler_failed,
     /// The handler returned without a complete response.
     no_response,
-    /// The server closed the connection behind an earlier response.
-    closed_after_response,
 };
 
 /// A request, or the part of one that has arrived, whose connection ended without a complete response.
@@ -48,13 +46,12 @@
 } // namespace rattanbay::http
 
 template <> struct rattanbay::base::enum_names<rattanbay::http::unanswered_reason> {
-    static constexpr std::array<enum_name<rattanbay::http::unanswered_reason>, 7> table{{
+    static constexpr std::array<enum_name<rattanbay::http::unanswered_reason>, 6> table{{
         {rattanbay::http::unanswered_reason::client_closed, "client_closed"},
         {rattanbay::http::unanswered_reason::read_failed, "read_failed"},
         {rattanbay::http::unanswered_reason::write_failed, "write_failed"},
         {rattanbay::http::unanswered_reason::aborted, "aborted"},
         {rattanbay::http::unanswered_reason::handler_failed, "handler_failed"},
         {rattanbay::http::unanswered_reason::no_response, "no_response"},
-        {rattanbay::http::unanswered_reason::closed_after_response, "closed_after_response"},
     }};
 };
