Let a planned stop wait for requests that have arrived unread

A stop ended when no request was being handled. A request whose bytes stood unread in its socket, as the thread was held, or whose body was still being read was not counted, and the process could exit without an answer to it (found in review). The stop now waits until all connections of callers are closed, at most until its deadline as before. held_thread_test shows that the server answers such requests; the wait of the daemon has no test.

--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -245,7 +245,8 @@
             shared_.relay->rejecting_requests.store(true);
         }
         caller_server_->shut_down();
-        while (caller_server_->open_requests() > 0 && now() < drain_deadline) {
+        // A connection is open until a request that has arrived on it is answered, also an unread one.
+        while (caller_server_->open_connections() > 0 && now() < drain_deadline) {
             co_await sleep_for(drain_poll_interval);
             if (shared_.relay && now() >= shared_.relay->stop_deadline.load()) {
                 shared_.relay->open_requests->end_all();
