Publish the VM list's era also if its entries are unchanged

After a return from a copy with equal entries the published list kept its version of the former era, so daemons that started later took a list of an old era from their peers (seen in a log of restored_herd: '1:43' in era 2), and relay_ended named it.

--- a/packages/daemon/src/vm_list_publisher.cpp
+++ b/packages/daemon/src/vm_list_publisher.cpp
@@ -79,7 +79,8 @@
 
 void vm_list_publisher::publish(const object_api::vm_list& list, const vm_list_source& source) {
     const std::shared_ptr<const object_api::vm_list> previous = shared_.vms.read();
-    if (list.vms == previous->vms) {
+    // Peers and log lines need the era also if the entries are the same in it.
+    if (list.vms == previous->vms && list.version.era() == previous->version.era()) {
         return;
     }
     shared_.vms.publish(std::make_shared<object_api::vm_list>(list));
