--- a/packages/daemon/src/relay_attempt.cpp
+++ b/packages/daemon/src/relay_attempt.cpp
@@ -103,7 +103,8 @@
 
 asio::awaitable<base::result<void>> relay_attempt::read_body(base::duration time_left) {
     if (!body) {
-        base::result<std::string> read = co_await http::read_body(*connection_, time_left, max_response_bytes);
+        base::result<std::string> read =
+            co_await http::read_body(*connection_, time_left, max_response_bytes);
         if (!read) {
             co_return tl::unexpected<base::error>(read.error());
         }
