Tell the processor of a VM in its settings and member record

Roles that schedule the work of other daemons were given by a hash alone, as a daemon did not know the processor of its own VM or of the others. The settings get a section `processor` with the share of a core and its speed, filled by the deploy template, and member records carry the product in hundredths of a core. The field is appended, so daemons of earlier versions are read with an unknown capacity. Nothing uses it yet.

--- a/packages/config/include/rattanbay/config/settings.hpp
+++ b/packages/config/include/rattanbay/config/settings.hpp
@@ -6,6 +6,7 @@
 #include <rattanbay/config/finding.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -22,6 +23,17 @@
     double extra_attempts = 0;
 };
 
+/// Processor of a VM. Roles that schedule the work of other daemons are assigned by its capacity.
+struct processor_settings {
+    /// Share of a core that the VM may use.
+    double core_share = 1;
+    /// Speed of the core as a multiple of an ordinary one.
+    double speed = 1;
+
+    /// Capacity in hundredths of an ordinary core, at least 1.
+    std::uint32_t capacity_percent() const;
+};
+
 /// Settings of a daemon that relays requests.
 struct relay_settings {
     /// Listen address for the platform's readiness checks.
@@ -63,6 +75,7 @@
     base::duration drain_timeout = std::chrono::seconds(60);
     /// One of "debug", "info", "warning", "error".
     std::string log_level = "info";
+    processor_settings processor;
 
     /// Set if the daemon relays requests; it then serves no pipelines and keeps no ledger.
     std::optional<relay_settings> relay;
--- a/packages/config/src/settings.cpp
+++ b/packages/config/src/settings.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <fstream>
 #include <map>
 #include <sstream>
@@ -124,6 +125,27 @@
     return out;
 }
 
+// Bounds of the processor section; they only exclude values that no VM has.
+constexpr double max_core_share = 1024;
+constexpr double max_speed = 1024;
+
+void read_positive_number(object_reader& reader, std::string_view key, double high, double& out) {
+    const std::optional<double> value = reader.number(key, 0, high, presence::optional);
+    if (value && *value <= 0) {
+        reader.report(key, "must be greater than 0");
+    } else if (value) {
+        out = *value;
+    }
+}
+
+processor_settings read_processor_settings(object_reader& reader) {
+    processor_settings out;
+    read_positive_number(reader, "core_share", max_core_share, out.core_share);
+    read_positive_number(reader, "speed", max_speed, out.speed);
+    reader.report_unknown_keys();
+    return out;
+}
+
 void read_secret(object_reader& reader, settings& out) {
     const std::optional<std::string> secret = reader.text("cluster_secret");
     if (secret && secret->size() < min_secret_size) {
@@ -135,6 +157,11 @@
 
 } // namespace
 
+std::uint32_t processor_settings::capacity_percent() const {
+    constexpr double percent = 100;
+    return static_cast<std::uint32_t>(std::max(1.0, std::round(core_share * speed * percent)));
+}
+
 validation_result<settings> settings::parse(std::string_view text) {
     internal::parsed_json parsed = internal::parse_json_with_comments(text);
     std::vector<finding>& findings = parsed.findings;
@@ -154,6 +181,11 @@
     out.seed_peers = read_seeds(reader, out.peer_address, addresses);
     read_secret(reader, out);
     read_limits(reader, out);
+    const nlohmann::json* const processor = reader.member("processor", presence::optional);
+    if (processor != nullptr) {
+        object_reader section(*processor, reader.pointer_to("processor"), findings);
+        out.processor = read_processor_settings(section);
+    }
     const nlohmann::json* const relay = reader.member("relay", presence::optional);
     if (relay != nullptr) {
         object_reader section(*relay, reader.pointer_to("relay"), findings);
--- a/packages/config/test/settings_test.cpp
+++ b/packages/config/test/settings_test.cpp
@@ -54,6 +54,34 @@
     BOOST_TEST(sorted_pointers(read.error()) == expected, boost::test_tools::per_element());
 }
 
+// Guards against roles assigned by a wrong capacity: a lost default, a share without the speed, or a small
+// share rounded to nothing.
+BOOST_AUTO_TEST_CASE(the_processor_capacity_is_read) {
+    BOOST_TEST(config::settings::parse(complete_settings)->processor.capacity_percent() == 100U);
+    const std::string start = complete_settings.substr(0, complete_settings.rfind('}'));
+    const auto capacity = [&start](const std::string& section) {
+        const config::validation_result<config::settings> read =
+            config::settings::parse(start + R"(, "processor": )" + section + "}");
+        BOOST_REQUIRE_MESSAGE(read.has_value(), format_findings(read));
+        return read->processor.capacity_percent();
+    };
+    BOOST_TEST(capacity(R"({"core_share": 0.12, "speed": 1})") == 12U);
+    BOOST_TEST(capacity(R"({"core_share": 0.25, "speed": 2.5})") == 63U);
+    BOOST_TEST(capacity(R"({"core_share": 2})") == 200U);
+    BOOST_TEST(capacity(R"({"core_share": 0.001})") == 1U);
+}
+
+// Guards against a processor of no or negative capacity, which would make the shares of a pool meaningless.
+BOOST_AUTO_TEST_CASE(an_impossible_processor_is_reported) {
+    const std::string start = complete_settings.substr(0, complete_settings.rfind('}'));
+    const config::validation_result<config::settings> read =
+        config::settings::parse(start + R"(, "processor": {"core_share": 0, "speed": -1, "cores": 4}})");
+    BOOST_REQUIRE(!read.has_value());
+    const std::vector<std::string> expected{"/processor/core_share", "/processor/cores", "/processor/speed"};
+    BOOST_TEST(sorted_pointers(read.error()) == expected, boost::test_tools::per_element());
+    BOOST_TEST(!config::settings::parse(start + R"(, "processor": {"core_share": "half"}})").has_value());
+}
+
 // Guards against a syntax error reported without its location.
 BOOST_AUTO_TEST_CASE(syntax_errors_have_line_and_column) {
     const config::validation_result<config::settings> read = config::settings::parse("{\n  \"vm\": }");
--- a/packages/daemon/src/membership_driver.cpp
+++ b/packages/daemon/src/membership_driver.cpp
@@ -17,6 +17,7 @@
     self.failure_domain = shared.settings.failure_domain;
     self.peer_address = shared.settings.peer_address;
     self.caller_address = shared.settings.caller_address;
+    self.processor_percent = shared.settings.processor.capacity_percent();
     return self;
 }
 
--- a/packages/peer/include/rattanbay/peer/member_record.hpp
+++ b/packages/peer/include/rattanbay/peer/member_record.hpp
@@ -35,6 +35,8 @@
     /// Revision of the newest change in the VM list in use at the member; unset if it has none. A change does
     /// not increase `sequence`.
     object_api::store_revision vm_list_change;
+    /// Processor capacity of the member's VM in hundredths of a core; 0 if it is unknown.
+    std::uint32_t processor_percent = 0;
 
     friend bool operator==(const member_record&, const member_record&) = default;
 };
--- a/packages/peer/src/internal/wire.hpp
+++ b/packages/peer/src/internal/wire.hpp
@@ -130,7 +130,7 @@
                               value.caller_address, value.sequence, static_cast<std::uint8_t>(value.status),
                               value.draining, value.revision, value.load, value.ledger, value.ledger_window,
                               value.ledger_recorded, value.vm_list_change.number(),
-                              value.vm_list_change.era());
+                              value.vm_list_change.era(), value.processor_percent);
             return out;
         }
     };
@@ -149,6 +149,7 @@
             wire::unpack_optional_field(from, vm_list_change_index, number);
             wire::unpack_optional_field(from, vm_list_change_index + 1, era);
             value.vm_list_change = rattanbay::object_api::store_revision(era, number);
+            wire::unpack_optional_field(from, vm_list_change_index + 2, value.processor_percent);
             return from;
         }
     };
--- a/packages/peer/test/codec_test.cpp
+++ b/packages/peer/test/codec_test.cpp
@@ -31,6 +31,7 @@
     record.ledger_window = 77;
     record.ledger_recorded = true;
     record.vm_list_change = {2, 31};
+    record.processor_percent = 12;
     return record;
 }
 
@@ -38,7 +39,8 @@
 
 BOOST_AUTO_TEST_SUITE(codec)
 
-// Daemons of earlier versions send records without the position of the VM list, or without its era.
+// Daemons of earlier versions send records without the processor capacity, the era of the VM list or its
+// position.
 BOOST_AUTO_TEST_CASE(records_of_earlier_versions_are_read) {
     msgpack::sbuffer buf;
     msgpack::pack(buf, sample_record(1));
@@ -46,6 +48,9 @@
     msgpack::object packed = handle.get();
     peer::member_record expected = sample_record(1);
     packed.via.array.size -= 1;
+    expected.processor_percent = 0;
+    BOOST_CHECK(packed.as<peer::member_record>() == expected);
+    packed.via.array.size -= 1;
     expected.vm_list_change = {0, 31};
     BOOST_CHECK(packed.as<peer::member_record>() == expected);
     packed.via.array.size -= 1;
