Keep the state of endpoints that leave a piece scheduler for a while

An endpoint that was left out by `configure` lost its calls in progress and its results; when it came back it got calls and results beyond what it bears. This becomes usual when the endpoints of a pool are divided among daemons and the division changes. The state of former endpoints is kept until their calls have ended and their results are released.

The test fails on the code before: a second call is sent beside the one in progress, and the released results do not free the endpoint.

--- a/packages/relay/include/rattanbay/relay/piece_scheduler.hpp
+++ b/packages/relay/include/rattanbay/relay/piece_scheduler.hpp
@@ -17,6 +17,10 @@
 
 namespace rattanbay::relay {
 
+/// Pieces that transfer at least this many bytes are scheduled near their preferred failure domain, and wait
+/// for an endpoint there. Results of at least this size respect the space reserved for other stages.
+constexpr std::uint64_t large_transfer_bytes = std::uint64_t{50} * 1024;
+
 /// Identifies a piece within its scheduler.
 using piece_id = std::uint64_t;
 
@@ -71,7 +75,9 @@
 /// for. Not thread-safe.
 class piece_scheduler {
 public:
-    /// Replaces the limits and the endpoints. Endpoints that keep their address keep their state.
+    /// Replaces the limits and the endpoints. Endpoints that keep their address keep their state. An endpoint
+    /// that is left out gets no further calls; its state is kept while it has calls in progress or results,
+    /// so that it gets no more work than it bears if it comes back.
     void configure(const config::piece_limits& limits, const std::vector<pool_endpoint>& endpoints);
 
     /// Queues all pieces of a stage, which may differ only in their identifiers and orders. Returns false if
@@ -152,6 +158,10 @@
     using queue_key = std::pair<base::time_point, stage_id>;
     using stage_queue = std::map<queue_key, waiting_stage>;
 
+    /// State of a current or former endpoint, or null if there is none.
+    endpoint_state* find_endpoint(const base::endpoint_id& endpoint);
+    /// Drops the state of a former endpoint that has neither calls in progress nor results.
+    void remove_if_idle(const base::endpoint_id& endpoint);
     std::size_t pieces_ahead(const waiting_stage& stage, base::time_point now) const;
     void remove_expired_results(base::time_point now);
     std::size_t free_slots(const endpoint_state& state) const;
@@ -169,6 +179,8 @@
 
     config::piece_limits limits_;
     std::map<base::endpoint_id, endpoint_state> endpoints_;
+    /// Former endpoints with calls in progress or results.
+    std::map<base::endpoint_id, endpoint_state> former_endpoints_;
     stage_queue queue_;
     std::size_t waiting_ = 0;
     std::map<std::string, result_state> results_;
--- a/packages/relay/src/piece_scheduler.cpp
+++ b/packages/relay/src/piece_scheduler.cpp
@@ -9,10 +9,7 @@
 
 namespace {
 
-/// Pieces that transfer at least this many bytes wait up to max_locality_wait for an endpoint in their
-/// preferred domain. Results of at least this size respect the space reserved for other stages.
-constexpr std::uint64_t large_transfer_bytes = 50 * 1024;
-/// Maximum wait of a piece for an endpoint in its preferred failure domain.
+/// Maximum wait of a piece with a large transfer for an endpoint in its preferred failure domain.
 constexpr std::chrono::milliseconds max_locality_wait{60};
 /// Time for which an endpoint without space gets no work.
 constexpr std::chrono::milliseconds full_backoff{100};
@@ -37,15 +34,39 @@
 void piece_scheduler::configure(const config::piece_limits& limits,
                                 const std::vector<pool_endpoint>& endpoints) {
     limits_ = limits;
-    std::map<base::endpoint_id, endpoint_state> next_endpoints;
+    std::map<base::endpoint_id, endpoint_state> known = std::move(endpoints_);
+    known.merge(former_endpoints_);
+    endpoints_.clear();
+    former_endpoints_.clear();
     for (const pool_endpoint& endpoint : endpoints) {
-        const auto it = endpoints_.find(endpoint.id);
-        const bool same = it != endpoints_.end() && it->second.endpoint.address == endpoint.address;
+        const auto it = known.find(endpoint.id);
+        const bool same = it != known.end() && it->second.endpoint.address == endpoint.address;
         endpoint_state state = same ? it->second : endpoint_state{};
         state.endpoint = endpoint;
-        next_endpoints.emplace(endpoint.id, std::move(state));
+        endpoints_.emplace(endpoint.id, std::move(state));
+    }
+    for (auto& row : known) {
+        const bool is_idle = row.second.active_calls == 0 && row.second.held_bytes == 0;
+        if (!is_idle && !endpoints_.contains(row.first)) {
+            former_endpoints_.emplace(row.first, std::move(row.second));
+        }
+    }
+}
+
+piece_scheduler::endpoint_state* piece_scheduler::find_endpoint(const base::endpoint_id& endpoint) {
+    const auto it = endpoints_.find(endpoint);
+    if (it != endpoints_.end()) {
+        return &it->second;
+    }
+    const auto former = former_endpoints_.find(endpoint);
+    return former != former_endpoints_.end() ? &former->second : nullptr;
+}
+
+void piece_scheduler::remove_if_idle(const base::endpoint_id& endpoint) {
+    const auto it = former_endpoints_.find(endpoint);
+    if (it != former_endpoints_.end() && it->second.active_calls == 0 && it->second.held_bytes == 0) {
+        former_endpoints_.erase(it);
     }
-    endpoints_ = std::move(next_endpoints);
 }
 
 base::duration piece_scheduler::call_time(std::size_t pieces) const {
@@ -272,11 +293,11 @@
 
 void piece_scheduler::end_call(const base::endpoint_id& endpoint, attempt_result result,
                                const std::vector<held_result>& results, base::time_point now) {
-    const auto it = endpoints_.find(endpoint);
-    if (it == endpoints_.end()) {
+    endpoint_state* const found = find_endpoint(endpoint);
+    if (found == nullptr) {
         return;
     }
-    endpoint_state& state = it->second;
+    endpoint_state& state = *found;
     state.active_calls -= state.active_calls > 0 ? 1 : 0;
     if (state.active_calls == 0) {
         state.reserved_bytes = 0;
@@ -294,19 +315,20 @@
     } else if (++state.consecutive_failures >= ejection_threshold) {
         state.ejected_until = now + ejection_time;
     }
+    remove_if_idle(endpoint);
 }
 
 void piece_scheduler::mark_full(const base::endpoint_id& endpoint, base::time_point now) {
-    const auto it = endpoints_.find(endpoint);
-    if (it != endpoints_.end()) {
-        it->second.full_until = now + full_backoff;
+    endpoint_state* const state = find_endpoint(endpoint);
+    if (state != nullptr) {
+        state->full_until = now + full_backoff;
     }
 }
 
 void piece_scheduler::pause(const base::endpoint_id& endpoint, base::time_point until) {
-    const auto it = endpoints_.find(endpoint);
-    if (it != endpoints_.end()) {
-        it->second.paused_until = std::max(it->second.paused_until, until);
+    endpoint_state* const state = find_endpoint(endpoint);
+    if (state != nullptr) {
+        state->paused_until = std::max(state->paused_until, until);
     }
 }
 
@@ -315,11 +337,13 @@
     if (it == results_.end()) {
         return;
     }
-    const auto holder = endpoints_.find(it->second.endpoint);
-    if (holder != endpoints_.end()) {
-        holder->second.held_bytes -= std::min(holder->second.held_bytes, it->second.bytes);
+    const base::endpoint_id holder = it->second.endpoint;
+    endpoint_state* const state = find_endpoint(holder);
+    if (state != nullptr) {
+        state->held_bytes -= std::min(state->held_bytes, it->second.bytes);
     }
     results_.erase(it);
+    remove_if_idle(holder);
 }
 
 } // namespace rattanbay::relay
--- a/packages/relay/test/piece_scheduler_test.cpp
+++ b/packages/relay/test/piece_scheduler_test.cpp
@@ -314,4 +314,34 @@
     BOOST_TEST(scheduler.next_batch(at_ms(1500)).has_value());
 }
 
+// Guards against calls and results that are forgotten when an endpoint is scheduled by another daemon for a
+// while: the endpoint then gets more calls or results than it bears.
+BOOST_FIXTURE_TEST_CASE(an_endpoint_that_comes_back_keeps_its_calls_and_results, scheduler_fixture) {
+    limits.max_queued_calls = 0;
+    limits.result_capacity_bytes = 400;
+    const relay::pool_endpoint first = endpoint("p1", "a", 1);
+    const relay::pool_endpoint second = endpoint("p2", "b", 2);
+    scheduler.configure(limits, {first});
+    BOOST_REQUIRE(add(stage(4, 500)));
+    const std::optional<relay::piece_batch> call = scheduler.next_batch(at_ms(0));
+    BOOST_REQUIRE(call.has_value());
+    BOOST_REQUIRE(add(stage(4, 500)));
+    scheduler.configure(limits, {second});
+    scheduler.configure(limits, {first});
+    BOOST_TEST(!scheduler.next_batch(at_ms(1)).has_value());
+
+    scheduler.configure(limits, {});
+    std::vector<relay::held_result> results;
+    for (const relay::waiting_piece& piece : call->pieces) {
+        results.push_back({"handle-" + std::to_string(piece.id), piece.result_bytes});
+    }
+    scheduler.end_call(first.id, relay::attempt_result::answered, results, at_ms(100));
+    scheduler.configure(limits, {first});
+    BOOST_TEST(!scheduler.next_batch(at_ms(101)).has_value());
+    for (const relay::held_result& held : results) {
+        scheduler.release_result(held.handle);
+    }
+    BOOST_TEST(scheduler.next_batch(at_ms(102)).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
