Plan the schedulers of a worker pool by what VMs can bear

Callers of a site of 72 VMs saw answers after their objective: all calls to a pool were scheduled by one daemon, which a hash chose without a look at its processor.

Nothing uses the plan yet.

--- a/packages/membership/include/rattanbay/membership.hpp
+++ b/packages/membership/include/rattanbay/membership.hpp
@@ -4,9 +4,15 @@
 /// pools.
 ///
 /// - detector.hpp: failure detector and member table
+/// - eligibility.hpp: members that take requests and roles
 /// - entry_selection.hpp: selection of entry addresses for a caller
+/// - pool_plan.hpp: division of a worker pool among the daemons that schedule it
+/// - pool_shard.hpp: endpoints of a worker pool that one daemon schedules
 /// - scheduler_selection.hpp: selection of the daemons that schedule a worker pool
 
 #include <rattanbay/membership/detector.hpp>
+#include <rattanbay/membership/eligibility.hpp>
 #include <rattanbay/membership/entry_selection.hpp>
+#include <rattanbay/membership/pool_plan.hpp>
+#include <rattanbay/membership/pool_shard.hpp>
 #include <rattanbay/membership/scheduler_selection.hpp>
--- a/packages/membership/src/entry_selection.cpp
+++ b/packages/membership/src/entry_selection.cpp
@@ -1,3 +1,4 @@
+#include <rattanbay/membership/eligibility.hpp>
 #include <rattanbay/membership/entry_selection.hpp>
 
 #include <algorithm>
@@ -12,10 +13,6 @@
     double rank = 0;
 };
 
-bool is_eligible(const peer::member_record& member) {
-    return member.status == peer::member_status::live && !member.draining && member.revision > 0;
-}
-
 /// Exponentially distributed random rank with the weight as its rate. Sorting by rank is weighted sampling
 /// without replacement.
 double random_rank(const peer::member_record& member, base::random_source& random) {
--- a/packages/membership/src/scheduler_selection.cpp
+++ b/packages/membership/src/scheduler_selection.cpp
@@ -1,4 +1,5 @@
 #include <rattanbay/base/hash.hpp>
+#include <rattanbay/membership/eligibility.hpp>
 #include <rattanbay/membership/scheduler_selection.hpp>
 
 #include <algorithm>
@@ -6,14 +7,6 @@
 
 namespace rattanbay::membership {
 
-namespace {
-
-bool is_eligible(const peer::member_record& member) {
-    return member.status == peer::member_status::live && !member.draining && member.revision > 0;
-}
-
-} // namespace
-
 std::vector<peer::member_record> select_schedulers(const std::vector<peer::member_record>& members,
                                                    const base::service_name& service, std::size_t max_count) {
     // Rendezvous hashing: the loss of a daemon reassigns only the services that it scheduled.
