Divide worker pools among daemons by their processor capacity

Cause: one daemon, chosen by a hash, scheduled all calls to a pool and ran out of processor time while the endpoints were half idle. The class of fault is work that grows with the fleet on one process of unknown size.

`piece_router` and `piece_pool` now follow the plan of `membership::plan_pool`. `pool_planner` keeps it and computes it again only when members, document or endpoints change; before, all members were hashed for each stage and release. A stage goes to one shard, the release of a result to the shard whose endpoint holds it, and a daemon calls the endpoints of its own shards only. A daemon that is asked though it schedules no shard by its own view uses all endpoints, as before. `pool_schedulers_changed` tells the plan, `rattanbay_scheduled_endpoints` the part of each daemon.

--- a/packages/daemon/src/control.cpp
+++ b/packages/daemon/src/control.cpp
@@ -99,8 +99,10 @@
         [this](const std::vector<peer::member_record>& members) { members_->merge_members(members); },
         [this](std::uint64_t revision) { handle_adopted_revision(revision); });
     if (shared_.relay) {
-        piece_pool_ = std::make_shared<piece_pool>(*shared_.relay, shared_.metrics, strand_);
-        piece_router_ = std::make_shared<piece_router>(shared_, *piece_pool_, *transport_, strand_);
+        pool_planner_ = std::make_unique<pool_planner>(shared_);
+        piece_pool_ = std::make_shared<piece_pool>(shared_, *pool_planner_, strand_);
+        piece_router_ =
+            std::make_shared<piece_router>(shared_, *pool_planner_, *piece_pool_, *transport_, strand_);
         const std::shared_ptr<peer_broadcaster> broadcaster =
             std::make_shared<peer_broadcaster>(shared_, transport_, strand_);
         quarantine_exchange_ = std::make_shared<quarantine_exchange>(shared_, broadcaster, strand_);
@@ -268,6 +270,9 @@
         if (limit_exchange_) {
             limit_exchange_->refresh();
         }
+        if (pool_planner_) {
+            pool_planner_->refresh();
+        }
         const std::uint32_t load = shared_.requests_in_progress.load();
         const object_api::store_revision vm_list_change = state_->newest_vm_change();
         members_->update_self([load, vm_list_change](peer::member_record& own) {
--- a/packages/daemon/src/internal/control.hpp
+++ b/packages/daemon/src/internal/control.hpp
@@ -6,6 +6,7 @@
 #include "membership_driver.hpp"
 #include "peer_transport.hpp"
 #include "piece_router.hpp"
+#include "pool_planner.hpp"
 #include "quarantine_exchange.hpp"
 #include "shared_state.hpp"
 #include "state_synchronizer.hpp"
@@ -65,6 +66,7 @@
     std::unique_ptr<membership_driver> members_;
     std::shared_ptr<state_synchronizer> state_;
     std::shared_ptr<ledger_driver> ledger_;
+    std::unique_ptr<pool_planner> pool_planner_;
     std::shared_ptr<piece_pool> piece_pool_;
     std::shared_ptr<piece_router> piece_router_;
     std::shared_ptr<quarantine_exchange> quarantine_exchange_;
--- a/packages/daemon/src/internal/piece_pool.hpp
+++ b/packages/daemon/src/internal/piece_pool.hpp
@@ -1,7 +1,8 @@
 #pragma once
 
 #include "peer_transport.hpp"
-#include "relay_state.hpp"
+#include "pool_planner.hpp"
+#include "shared_state.hpp"
 
 #include <rattanbay/telemetry/metrics.hpp>
 
@@ -40,7 +41,7 @@
 /// Runs on the control strand.
 class piece_pool : public std::enable_shared_from_this<piece_pool> {
 public:
-    piece_pool(relay_state& relay, telemetry::metrics& metrics, control_strand strand);
+    piece_pool(shared_state& shared, pool_planner& planner, control_strand strand);
 
     /// Queues the pieces of a stage. `on_done` is called once, unless the stage is cancelled.
     relay::stage_id submit(stage_request request, stage_handler on_done);
@@ -68,17 +69,20 @@
     /// Scheduler of one service and its state.
     struct service_queue {
         relay::piece_scheduler scheduler;
-        /// Document revision and balancer generation for which the scheduler is configured.
-        std::pair<std::uint64_t, std::uint64_t> configured_for;
+        /// Generation of the plans for which the scheduler is configured.
+        std::uint64_t configured_for = 0;
         base::duration call_timeout{};
         bool wakeup_scheduled = false;
     };
 
+    /// Endpoints that this daemon calls: those of its shard, or all of them if it schedules no shard of the
+    /// pool but is asked to, because the views of the daemons differ or a scheduler cannot be reached.
+    std::vector<relay::pool_endpoint> own_endpoints(const base::service_name& service);
     bool configure(const base::service_name& service);
     void dispatch(const base::service_name& service);
     void schedule_wakeup(const base::service_name& service);
     /// Keeps further calls from an endpoint for as long as its limit on requests asks for. One daemon makes
-    /// all calls to a pool, so the limit is not divided.
+    /// all calls to an endpoint of a pool, so the limit is not divided.
     void pause_limited(const base::service_name& service, const base::endpoint_id& endpoint);
     asio::awaitable<void> send_batch(base::service_name service, relay::piece_batch batch);
     void log_call(const base::service_name& service, const relay::piece_batch& batch,
@@ -101,6 +105,8 @@
 
     relay_state& relay_;
     telemetry::metrics& metrics_;
+    const base::incarnation self_;
+    pool_planner& planner_;
     control_strand strand_;
     relay::stage_id last_stage_id_ = 0;
     relay::piece_id last_piece_id_ = 0;
--- a/packages/daemon/src/piece_pool.cpp
+++ b/packages/daemon/src/piece_pool.cpp
@@ -36,9 +36,11 @@
 
 } // namespace
 
-piece_pool::piece_pool(relay_state& relay, telemetry::metrics& metrics, control_strand strand)
-    : relay_(relay)
-    , metrics_(metrics)
+piece_pool::piece_pool(shared_state& shared, pool_planner& planner, control_strand strand)
+    : relay_(*shared.relay)
+    , metrics_(shared.metrics)
+    , self_(shared.id)
+    , planner_(planner)
     , strand_(strand) {}
 
 relay::stage_id piece_pool::submit(stage_request request, stage_handler on_done) {
@@ -115,6 +117,12 @@
     dispatch(service);
 }
 
+std::vector<relay::pool_endpoint> piece_pool::own_endpoints(const base::service_name& service) {
+    const std::shared_ptr<const membership::pool_plan> plan = planner_.plan(service);
+    const membership::pool_shard* const shard = plan->find(self_);
+    return shard != nullptr ? shard->endpoints : relay_.balancer.available_endpoints(service);
+}
+
 bool piece_pool::configure(const base::service_name& service) {
     const std::shared_ptr<const relay_serving_state> serving = relay_.serving.read();
     const config::relay_service* const settings = serving->find(service);
@@ -122,9 +130,9 @@
         return false;
     }
     service_queue& queue = queues_[service];
-    const std::pair<std::uint64_t, std::uint64_t> wanted(serving->revision, relay_.balancer.generation());
+    const std::uint64_t wanted = planner_.generation();
     if (queue.configured_for != wanted) {
-        queue.scheduler.configure(*settings->pieces, relay_.balancer.available_endpoints(service));
+        queue.scheduler.configure(*settings->pieces, own_endpoints(service));
         queue.call_timeout = call_timeout(*settings->pieces);
         queue.configured_for = wanted;
     }
--- a/packages/daemon/src/piece_router.cpp
+++ b/packages/daemon/src/piece_router.cpp
@@ -22,8 +22,6 @@
 /// Interval at which the scheduling daemon is checked to be live.
 constexpr std::chrono::milliseconds liveness_check_interval{100};
 constexpr std::chrono::seconds release_timeout{1};
-/// Number of daemons considered as schedulers before this daemon schedules the pieces itself.
-constexpr std::size_t max_schedulers = 3;
 /// Time for which a daemon is skipped after it could not be reached.
 constexpr std::chrono::seconds unreachable_backoff{1};
 
@@ -33,30 +31,41 @@
 
 } // namespace
 
-piece_router::piece_router(shared_state& shared, piece_pool& pool, peer_transport& transport,
-                           control_strand strand)
+piece_router::piece_router(shared_state& shared, pool_planner& planner, piece_pool& pool,
+                           peer_transport& transport, control_strand strand)
     : shared_(shared)
+    , planner_(planner)
     , pool_(pool)
     , transport_(transport)
     , strand_(strand) {}
 
-std::vector<peer::member_record> piece_router::schedulers_for(const base::service_name& service) {
+std::vector<peer::member_record> piece_router::schedulers_of(const membership::pool_shard* shard) {
+    std::vector<peer::member_record> out;
+    if (shard == nullptr) {
+        return out;
+    }
     const base::time_point current_time = now();
     std::erase_if(unreachable_until_, [current_time](const auto& row) { return row.second <= current_time; });
-    std::vector<peer::member_record> out;
-    for (const peer::member_record& next :
-         membership::select_schedulers(shared_.members.read()->members, service, max_schedulers)) {
-        if (next.id == shared_.id) {
-            out.push_back(next);
-            break;
-        }
-        if (!unreachable_until_.contains(next.peer_address)) {
+    const auto add_if_reachable = [this, &out](const peer::member_record& next) {
+        const bool ends_with_this = !out.empty() && out.back().id == shared_.id;
+        if (!ends_with_this && (next.id == shared_.id || !unreachable_until_.contains(next.peer_address))) {
             out.push_back(next);
         }
-    }
+    };
+    add_if_reachable(shard->scheduler);
+    std::ranges::for_each(shard->fallbacks, add_if_reachable);
     return out;
 }
 
+std::vector<peer::member_record> piece_router::schedulers_for(const stage_request& request) {
+    const std::shared_ptr<const membership::pool_plan> plan = planner_.plan(request.service);
+    const bool is_large =
+        std::max(request.order.result_bytes, request.order.input_bytes) >= relay::large_transfer_bytes;
+    const std::string key = request.order.request.text() + "/" + std::to_string(request.order.stage);
+    return schedulers_of(
+        membership::select_shard(*plan, key, is_large ? request.preferred_domain : base::failure_domain()));
+}
+
 void piece_router::mark_unreachable(const peer::member_record& scheduler) {
     unreachable_until_[scheduler.peer_address] = now() + unreachable_backoff;
 }
@@ -81,7 +90,7 @@
                                                          std::shared_ptr<exchange_handle> ticket) {
     const std::shared_ptr<piece_router> self = shared_from_this();
     const base::service_name service = request.service;
-    for (const peer::member_record& scheduler : schedulers_for(service)) {
+    for (const peer::member_record& scheduler : schedulers_for(request)) {
         if (scheduler.id == shared_.id || ticket->cancelled) {
             break;
         }
@@ -185,17 +194,39 @@
 
 void piece_router::release(base::service_name service, std::vector<std::string> handles) {
     const std::shared_ptr<piece_router> self = shared_from_this();
-    asio::co_spawn(
-        strand_,
-        [self, message = peer::release_pieces{service, handles}]() {
-            return self->release_with_failover(message);
-        },
-        asio::detached);
+    asio::post(strand_, [self, service = std::move(service), handles = std::move(handles)]() {
+        self->release_by_shard(service, handles);
+    });
+}
+
+void piece_router::release_by_shard(const base::service_name& service,
+                                    const std::vector<std::string>& handles) {
+    const std::shared_ptr<const membership::pool_plan> plan = planner_.plan(service);
+    std::map<std::size_t, std::vector<std::string>> handles_by_shard;
+    for (const std::string& handle : handles) {
+        const std::optional<base::address> holder = shared_.relay->protocol->result_holder(handle);
+        const auto it = holder ? plan->shard_by_address.find(*holder) : plan->shard_by_address.end();
+        // A holder that takes no more work belongs to no shard; any daemon can tell it.
+        handles_by_shard[it != plan->shard_by_address.end() ? it->second : 0].push_back(handle);
+    }
+    const std::shared_ptr<piece_router> self = shared_from_this();
+    for (auto& row : handles_by_shard) {
+        const membership::pool_shard* const shard =
+            row.first < plan->shards.size() ? &plan->shards[row.first] : nullptr;
+        asio::co_spawn(
+            strand_,
+            [self, message = peer::release_pieces{service, std::move(row.second)},
+             schedulers = schedulers_of(shard)]() {
+                return self->release_with_failover(message, schedulers);
+            },
+            asio::detached);
+    }
 }
 
-asio::awaitable<void> piece_router::release_with_failover(peer::release_pieces message) {
+asio::awaitable<void> piece_router::release_with_failover(peer::release_pieces message,
+                                                          std::vector<peer::member_record> schedulers) {
     const std::shared_ptr<piece_router> self = shared_from_this();
-    for (const peer::member_record& scheduler : schedulers_for(message.service)) {
+    for (const peer::member_record& scheduler : schedulers) {
         if (scheduler.id == shared_.id) {
             break;
         }
--- a/packages/telemetry/include/rattanbay/telemetry/log_event.hpp
+++ b/packages/telemetry/include/rattanbay/telemetry/log_event.hpp
@@ -66,6 +66,7 @@
     endpoint_paused = 7008,
     endpoint_limited = 7009,
     endpoint_limit_ended = 7010,
+    pool_schedulers_changed = 7011,
     lines_dropped = 8001,
 };
 
@@ -77,7 +78,7 @@
 };
 
 /// All log events, ordered by number.
-constexpr std::array<log_event_info, 56> log_events{{
+constexpr std::array<log_event_info, 57> log_events{{
     {log_event::daemon_started, log_level::info, "The daemon listens on all its addresses."},
     {log_event::daemon_draining, log_level::info, "A planned stop began; the daemon leaves the entry lists."},
     {log_event::daemon_stopped, log_level::info, "The planned stop ended; no request was left open."},
@@ -166,6 +167,8 @@
     {log_event::endpoint_limited, log_level::info,
      "An endpoint limits the requests that it takes from all daemons together."},
     {log_event::endpoint_limit_ended, log_level::info, "An endpoint limits its requests no longer."},
+    {log_event::pool_schedulers_changed, log_level::info,
+     "Other daemons than before schedule a worker pool."},
     {log_event::lines_dropped, log_level::warning,
      "Log lines were dropped as they could not be written in time."},
 }};
@@ -182,7 +185,7 @@
 };
 
 template <> struct rattanbay::base::enum_names<rattanbay::telemetry::log_event> {
-    static constexpr std::array<enum_name<telemetry::log_event>, 56> table{{
+    static constexpr std::array<enum_name<telemetry::log_event>, 57> table{{
         {telemetry::log_event::daemon_started, "daemon_started"},
         {telemetry::log_event::daemon_draining, "daemon_draining"},
         {telemetry::log_event::daemon_stopped, "daemon_stopped"},
@@ -238,6 +241,7 @@
         {telemetry::log_event::endpoint_paused, "endpoint_paused"},
         {telemetry::log_event::endpoint_limited, "endpoint_limited"},
         {telemetry::log_event::endpoint_limit_ended, "endpoint_limit_ended"},
+        {telemetry::log_event::pool_schedulers_changed, "pool_schedulers_changed"},
         {telemetry::log_event::lines_dropped, "lines_dropped"},
     }};
 };
--- a/packages/telemetry/include/rattanbay/telemetry/metrics.hpp
+++ b/packages/telemetry/include/rattanbay/telemetry/metrics.hpp
@@ -74,6 +74,9 @@
     /// Records the number of pieces that wait at this daemon, which schedules the worker pool.
     void set_waiting_pieces(const base::service_name& service, std::size_t count);
 
+    /// Records the number of endpoints of a worker pool that this daemon schedules.
+    void set_scheduled_endpoints(const base::service_name& service, std::size_t count);
+
     /// Counts bytes of control traffic to or from other daemons.
     void add_peer_bytes(std::string_view direction, std::size_t count);
 
--- a/packages/telemetry/src/metrics.cpp
+++ b/packages/telemetry/src/metrics.cpp
@@ -85,6 +85,11 @@
             .Name("rattanbay_waiting_pieces")
             .Help("Pieces that wait at the scheduler of a worker pool")
             .Register(registry);
+    prometheus::Family<prometheus::Gauge>& scheduled_endpoints =
+        prometheus::BuildGauge()
+            .Name("rattanbay_scheduled_endpoints")
+            .Help("Endpoints of a worker pool that the daemon schedules")
+            .Register(registry);
     prometheus::Family<prometheus::Counter>& documents = prometheus::BuildCounter()
                                                              .Name("rattanbay_documents_total")
                                                              .Help("Offered documents by result")
@@ -218,6 +223,10 @@
     state_->waiting_pieces.Add({{"service", service.text()}}).Set(static_cast<double>(count));
 }
 
+void metrics::set_scheduled_endpoints(const base::service_name& service, std::size_t count) {
+    state_->scheduled_endpoints.Add({{"service", service.text()}}).Set(static_cast<double>(count));
+}
+
 void metrics::add_peer_bytes(std::string_view direction, std::size_t count) {
     state_->peer_traffic.Add({{"direction", std::string(direction)}}).Increment(static_cast<double>(count));
 }
