Find expired results of a pool without a search through all held ones

What callers saw: requests with several stages were answered late on a fleet of small VMs, while the pools' endpoints stood idle for half of the time. Cause: the daemon that schedules a pool was out of processor time. Evidence: 54 % of its time passed in remove_expired_results, which walked all held results, 3,000 at 2,000 pieces/s, for each stage, release, call and timer. Change: the held results are also kept in the order of their expiry. What is decided is unchanged; a test compares the freed space with a search through all results.

--- a/packages/relay/include/rattanbay/relay/piece_scheduler.hpp
+++ b/packages/relay/include/rattanbay/relay/piece_scheduler.hpp
@@ -9,9 +9,12 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -71,6 +74,13 @@
 /// for. Not thread-safe.
 class piece_scheduler {
 public:
+    piece_scheduler() = default;
+    piece_scheduler(const piece_scheduler&) = delete;
+    piece_scheduler& operator=(const piece_scheduler&) = delete;
+    piece_scheduler(piece_scheduler&&) = default;
+    piece_scheduler& operator=(piece_scheduler&&) = default;
+    ~piece_scheduler() = default;
+
     /// Replaces the limits and the endpoints. Endpoints that keep their address keep their state.
     void configure(const config::piece_limits& limits, const std::vector<pool_endpoint>& endpoints);
 
@@ -102,7 +112,7 @@
     void pause(const base::endpoint_id& endpoint, base::time_point until);
 
     /// Records that a result is no longer needed and its space is free.
-    void release_result(const std::string& handle);
+    void release_result(std::string_view handle);
 
     /// Number of waiting pieces.
     std::size_t waiting() const { return waiting_; }
@@ -126,10 +136,23 @@
         base::time_point paused_until;
     };
 
+    /// Handles of the held results by the time at which their lifetime ends; they refer to the keys of
+    /// `results_`.
+    using expiry_index = std::multimap<base::time_point, std::string_view>;
+
     struct result_state {
         base::endpoint_id endpoint;
         std::uint64_t bytes = 0;
-        base::time_point expiry;
+        expiry_index::iterator expiry;
+    };
+
+    /// Hash function for handles that avoids copies of the handle in searches.
+    struct handle_hash {
+        using is_transparent = void;
+
+        std::size_t operator()(std::string_view handle) const {
+            return std::hash<std::string_view>()(handle);
+        }
     };
 
     /// Waiting pieces of one stage.
@@ -153,6 +176,7 @@
     using stage_queue = std::map<queue_key, waiting_stage>;
 
     std::size_t pieces_ahead(const waiting_stage& stage, base::time_point now) const;
+    void hold_result(const base::endpoint_id& endpoint, const held_result& held, base::time_point expiry);
     void remove_expired_results(base::time_point now);
     std::size_t free_slots(const endpoint_state& state) const;
     /// Strict weak ordering of stages by priority.
@@ -171,7 +195,9 @@
     std::map<base::endpoint_id, endpoint_state> endpoints_;
     stage_queue queue_;
     std::size_t waiting_ = 0;
-    std::map<std::string, result_state> results_;
+    std::unordered_map<std::string, result_state, handle_hash, std::equal_to<>> results_;
+    /// Thousands of results are held, so that the expired ones are not searched for among all of them.
+    expiry_index results_by_expiry_;
 };
 
 } // namespace rattanbay::relay
--- a/packages/relay/src/piece_scheduler.cpp
+++ b/packages/relay/src/piece_scheduler.cpp
@@ -126,11 +126,8 @@
 }
 
 void piece_scheduler::remove_expired_results(base::time_point now) {
-    for (auto it = results_.begin(); it != results_.end();) {
-        const auto current = it++;
-        if (current->second.expiry <= now) {
-            release_result(std::string(current->first));
-        }
+    while (!results_by_expiry_.empty() && results_by_expiry_.begin()->first <= now) {
+        release_result(results_by_expiry_.begin()->second);
     }
 }
 
@@ -284,7 +281,7 @@
     for (const held_result& held : results) {
         state.reserved_bytes -= std::min(state.reserved_bytes, held.bytes);
         state.held_bytes += held.bytes;
-        results_[held.handle] = result_state{endpoint, held.bytes, now + limits_.result_lifetime};
+        hold_result(endpoint, held, now + limits_.result_lifetime);
     }
     if (result == attempt_result::answered) {
         state.consecutive_failures = 0;
@@ -310,7 +307,19 @@
     }
 }
 
-void piece_scheduler::release_result(const std::string& handle) {
+void piece_scheduler::hold_result(const base::endpoint_id& endpoint, const held_result& held,
+                                  base::time_point expiry) {
+    const auto [it, inserted] = results_.try_emplace(held.handle);
+    if (!inserted) {
+        results_by_expiry_.erase(it->second.expiry);
+    }
+    // Lifetimes are mostly equal, so the new result usually expires last.
+    it->second = result_state{
+        endpoint, held.bytes,
+        results_by_expiry_.emplace_hint(results_by_expiry_.end(), expiry, std::string_view(it->first))};
+}
+
+void piece_scheduler::release_result(std::string_view handle) {
     const auto it = results_.find(handle);
     if (it == results_.end()) {
         return;
@@ -319,6 +328,7 @@
     if (holder != endpoints_.end()) {
         holder->second.held_bytes -= std::min(holder->second.held_bytes, it->second.bytes);
     }
+    results_by_expiry_.erase(it->second.expiry);
     results_.erase(it);
 }
 
--- a/packages/relay/test/piece_scheduler_test.cpp
+++ b/packages/relay/test/piece_scheduler_test.cpp
@@ -1,7 +1,11 @@
 #include "fixture.hpp"
 
+#include <rattanbay/base/random_source.hpp>
+
 #include <boost/test/unit_test.hpp>
 
+#include <map>
+
 namespace base = rattanbay::base;
 namespace config = rattanbay::config;
 namespace relay = rattanbay::relay;
@@ -157,6 +161,50 @@
     BOOST_TEST(scheduler.next_batch(at_ms(4200)).has_value());
 }
 
+// Guards against a search for expired results that finds them too early, too late or not at all, when results
+// are released before they expire, are held again under the same handle, or have different lifetimes. The
+// expected space is found by a search through all results.
+BOOST_FIXTURE_TEST_CASE(expired_results_free_their_space_at_their_time, scheduler_fixture) {
+    constexpr std::uint64_t bytes = 100'000;
+    constexpr std::size_t capacity = 40;
+    limits.result_capacity_bytes = bytes * capacity;
+    limits.max_batch_size = capacity;
+    const std::vector<relay::pool_endpoint> endpoints{endpoint("p1", "a", 1)};
+    scheduler.configure(limits, endpoints);
+    base::random_source random(1);
+    std::map<std::string, std::int64_t> expiry_by_handle;
+    std::int64_t time_ms = 0;
+    for (int step = 0; step < 2000; ++step) {
+        time_ms += static_cast<std::int64_t>(random.below(30));
+        const std::string handle = "h" + std::to_string(random.below(25));
+        if (random.below(3) == 0) {
+            scheduler.release_result(handle);
+            expiry_by_handle.erase(handle);
+        } else if (!expiry_by_handle.contains(handle)) {
+            const std::int64_t lifetime_ms = 300 + static_cast<std::int64_t>(random.below(2)) * 200;
+            limits.result_lifetime = base::from_milliseconds(lifetime_ms);
+            scheduler.configure(limits, endpoints);
+            scheduler.end_call(base::endpoint_id("p1"), relay::attempt_result::answered, {{handle, bytes}},
+                               at_ms(time_ms));
+            expiry_by_handle[handle] = time_ms + lifetime_ms;
+        }
+        std::erase_if(expiry_by_handle, [time_ms](const auto& row) { return row.second <= time_ms; });
+        // A call of single pieces takes all of the free space; the pieces are then put back and removed.
+        std::vector<relay::stage_id> stages;
+        for (std::size_t n = 0; n < capacity; ++n) {
+            stages.push_back(last_id + 1);
+            scheduler.add_stage({piece(time_ms + 10'000, bytes)}, at_ms(time_ms));
+        }
+        const std::optional<relay::piece_batch> batch = scheduler.next_batch(at_ms(time_ms));
+        BOOST_REQUIRE(batch.has_value());
+        BOOST_REQUIRE_EQUAL(batch->pieces.size(), capacity - expiry_by_handle.size());
+        scheduler.end_call(base::endpoint_id("p1"), relay::attempt_result::answered, {}, at_ms(time_ms));
+        for (const relay::stage_id stage : stages) {
+            scheduler.cancel_stage(stage);
+        }
+    }
+}
+
 // Guards against computing large results outside the failure domain that uses them, and against pieces that
 // wait forever for an endpoint in that domain.
 BOOST_FIXTURE_TEST_CASE(large_results_are_computed_in_the_domain_that_uses_them, scheduler_fixture) {
