Report each connection of a client that has ended, with its idle time

Nothing told that a daemon had closed an idle connection, after how long and under which limit, so the causes of a client's cut connection could not be told apart. Each end is counted by its reason and logged at the debug level (5013); an idle connection that is closed with unread bytes or after its limit has changed is logged at the info level (5014).

--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -171,7 +171,8 @@
                               http::request_handler handle, http::server_limits limits) {
         base::result<std::shared_ptr<http::server>> bound = http::server::listen(
             context_, address, std::move(handle), rejection_response, limits,
-            [this](const http::unanswered_request& request) { log_unanswered(request); });
+            [this](const http::unanswered_request& request) { log_unanswered(request); },
+            [this](const http::closed_connection& connection) { log_closed(connection); });
         if (!bound) {
             return tl::unexpected<base::error>(bound.error());
         }
@@ -204,6 +205,25 @@
              {"detail", request.detail}});
     }
 
+    void log_closed(const http::closed_connection& connection) {
+        const std::string reason(base::to_name(connection.reason));
+        shared_.metrics.record_closed_connection(reason);
+        const bool was_idle = connection.reason == http::close_reason::idle ||
+                              connection.reason == http::close_reason::shut_down;
+        const bool in_doubt = was_idle && (connection.unread_bytes > 0 ||
+                                           connection.first_idle_timeout != connection.last_idle_timeout);
+        telemetry::log(
+            in_doubt ? telemetry::log_event::connection_closed_in_doubt
+                     : telemetry::log_event::connection_closed,
+            {{"connection", std::to_string(connection.connection_id)},
+             {"reason", reason},
+             {"requests", std::to_string(connection.requests)},
+             {"idle_ms", std::to_string(base::to_milliseconds(connection.idle_time))},
+             {"first_idle_timeout_ms", std::to_string(base::to_milliseconds(connection.first_idle_timeout))},
+             {"last_idle_timeout_ms", std::to_string(base::to_milliseconds(connection.last_idle_timeout))},
+             {"unread_bytes", std::to_string(connection.unread_bytes)}});
+    }
+
     base::result<void> listen_for_relay() {
         relay_handler_ = std::make_unique<internal::relay_handler>(shared_, control_plane_->pieces(),
                                                                    control_plane_->quarantine());
--- a/packages/http/include/rattanbay/http.hpp
+++ b/packages/http/include/rattanbay/http.hpp
@@ -4,12 +4,14 @@
 ///
 /// Parts:
 /// - client_connection.hpp: one client connection, used by one exchange at a time
+/// - closed_connection.hpp: report of a connection of a server that has ended
 /// - connection_pool.hpp: pool of idle client connections
 /// - message.hpp: requests, responses and header fields
 /// - server.hpp: listener, connections and their limits
 /// - unanswered_request.hpp: report of a request whose connection ended without a complete response
 
 #include <rattanbay/http/client_connection.hpp>
+#include <rattanbay/http/closed_connection.hpp>
 #include <rattanbay/http/connection_pool.hpp>
 #include <rattanbay/http/message.hpp>
 #include <rattanbay/http/server.hpp>
--- a/packages/http/include/rattanbay/http/server.hpp
+++ b/packages/http/include/rattanbay/http/server.hpp
@@ -2,6 +2,7 @@
 
 #include <rattanbay/base/error.hpp>
 #include <rattanbay/base/time.hpp>
+#include <rattanbay/http/closed_connection.hpp>
 #include <rattanbay/http/message.hpp>
 #include <rattanbay/http/unanswered_request.hpp>
 
@@ -91,11 +92,12 @@
 /// Listens on one address and serves HTTP/1.1 with keep-alive, each connection on its own strand.
 class server : public std::enable_shared_from_this<server> {
 public:
-    /// Binds the address and starts accepting connections. `on_unanswered` may be empty. Error: `unavailable`
-    /// when the address cannot be bound.
+    /// Binds the address and starts accepting connections. `on_unanswered` and `on_closed` may be empty.
+    /// Error: `unavailable` when the address cannot be bound.
     static base::result<std::shared_ptr<server>>
     listen(asio::io_context& context, const base::address& address, request_handler handle_request,
-           rejection_handler reject, server_limits limits, unanswered_handler on_unanswered = {});
+           rejection_handler reject, server_limits limits, unanswered_handler on_unanswered = {},
+           close_handler on_closed = {});
 
     virtual ~server() = default;
 
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -93,6 +93,8 @@
     asio::awaitable<bool> serve(request message, bool keep_alive);
     void report(unanswered_request request) const;
     void report_partial(const error_code& ec) const;
+    /// Reports the end of the connection, while its socket is still open.
+    void report_end();
     void commit_received(std::size_t bytes);
 
     beast::tcp_stream stream_;
@@ -102,17 +104,22 @@
     bool request_active_ = false;
     /// Time at which bytes of the current request were last read.
     std::chrono::steady_clock::time_point last_byte_;
+    /// What is reported when the connection ends.
+    closed_connection end_;
+    /// Time at which the wait for a request began.
+    std::chrono::steady_clock::time_point idle_since_;
 };
 
 class beast_server final : public server {
 public:
     beast_server(asio::io_context& context, request_handler handle_request, rejection_handler reject,
-                 server_limits limits, unanswered_handler on_unanswered)
+                 server_limits limits, unanswered_handler on_unanswered, close_handler on_closed)
         : context_(context)
         , acceptor_(asio::make_strand(context))
         , request_handler_(std::move(handle_request))
         , rejection_handler_(std::move(reject))
         , unanswered_handler_(std::move(on_unanswered))
+        , close_handler_(std::move(on_closed))
         , limits_(std::make_shared<server_limits>(limits)) {}
 
     error_code bind(const base::address& address) {
@@ -182,6 +189,12 @@
         }
     }
 
+    void report(const closed_connection& connection) const {
+        if (close_handler_) {
+            close_handler_(connection);
+        }
+    }
+
     void request_started() { open_requests_.fetch_add(1); }
 
     void request_ended() { open_requests_.fetch_sub(1); }
@@ -239,6 +252,7 @@
     request_handler request_handler_;
     rejection_handler rejection_handler_;
     unanswered_handler unanswered_handler_;
+    close_handler close_handler_;
     base::snapshot<server_limits> limits_;
     std::atomic<bool> shutting_down_{false};
     std::atomic<bool> keep_alive_{true};
@@ -271,6 +285,19 @@
     report(std::move(request));
 }
 
+void session::report_end() {
+    end_.connection_id = id_;
+    if (end_.reason == close_reason::idle || end_.reason == close_reason::shut_down) {
+        end_.idle_time =
+            std::chrono::duration_cast<base::duration>(std::chrono::steady_clock::now() - idle_since_);
+    }
+    end_.last_idle_timeout = server_->limits().idle_timeout;
+    error_code ec;
+    const std::size_t unread_bytes = stream_.socket().available(ec);
+    end_.unread_bytes = ec ? 0 : unread_bytes;
+    server_->report(end_);
+}
+
 error_code session::take_arrived_bytes(error_code ec) {
     constexpr std::size_t read_bytes = 4096;
     error_code read_error;
@@ -285,6 +312,8 @@
 
 asio::awaitable<error_code> session::wait_for_first_byte() {
     constexpr std::size_t read_bytes = 4096;
+    idle_since_ = std::chrono::steady_clock::now();
+    end_.first_idle_timeout = server_->limits().idle_timeout;
     if (buffer_.size() > 0) {
         co_return error_code();
     }
@@ -292,12 +321,11 @@
         co_return take_arrived_bytes(asio::error::operation_aborted);
     }
     stream_.expires_never();
-    const std::chrono::steady_clock::time_point idle_since = std::chrono::steady_clock::now();
     error_code ec = asio::error::operation_aborted;
     // The wait is cancelled without a timeout when the limits change.
     while (ec == asio::error::operation_aborted && !server_->shutting_down()) {
         const base::duration idle_time =
-            std::chrono::duration_cast<base::duration>(std::chrono::steady_clock::now() - idle_since);
+            std::chrono::duration_cast<base::duration>(std::chrono::steady_clock::now() - idle_since_);
         read_timeout idle_timeout(stream_, server_->limits().idle_timeout - idle_time);
         const std::size_t size = co_await stream_.async_read_some(
             buffer_.prepare(read_bytes), asio::redirect_error(asio::use_awaitable, ec));
@@ -419,14 +447,21 @@
     while (open) {
         error_code ec = co_await wait_for_first_byte();
         if (ec) {
+            if (ec == beast::error::timeout) {
+                end_.reason = close_reason::idle;
+            } else if (ec == asio::error::operation_aborted) {
+                end_.reason = close_reason::shut_down;
+            }
             break;
         }
+        ++end_.requests;
         request_active_ = true;
         beast::http::request_parser<beast::http::string_body> parser;
         ec = co_await read_request(parser, server_->limits());
         if (ec) {
             const std::optional<base::error> reason = rejection_error(ec);
             if (reason) {
+                end_.reason = close_reason::rejected;
                 co_await reject(*reason);
             } else {
                 report_partial(ec);
@@ -445,6 +480,9 @@
         request_active_ = false;
         // During a planned stop, the wait for the next request takes only one that has arrived.
         open = reusable;
+        if (!open) {
+            end_.reason = close_reason::after_response;
+        }
     }
 }
 
@@ -458,6 +496,7 @@
         request.detail = error.what();
         report(std::move(request));
     }
+    report_end();
     error_code ignored;
     stream_.socket().shutdown(tcp::socket::shutdown_both, ignored);
     stream_.socket().close(ignored);
@@ -468,9 +507,11 @@
 
 base::result<std::shared_ptr<server>> server::listen(asio::io_context& context, const base::address& address,
                                                      request_handler handle_request, rejection_handler reject,
-                                                     server_limits limits, unanswered_handler on_unanswered) {
-    const std::shared_ptr<beast_server> instance = std::make_shared<beast_server>(
-        context, std::move(handle_request), std::move(reject), limits, std::move(on_unanswered));
+                                                     server_limits limits, unanswered_handler on_unanswered,
+                                                     close_handler on_closed) {
+    const std::shared_ptr<beast_server> instance =
+        std::make_shared<beast_server>(context, std::move(handle_request), std::move(reject), limits,
+                                       std::move(on_unanswered), std::move(on_closed));
     const error_code ec = instance->bind(address);
     if (ec) {
         return base::fail(base::error_code::unavailable, "listen on " + address.text() + ": " + ec.message());
--- a/packages/telemetry/include/rattanbay/telemetry/log_event.hpp
+++ b/packages/telemetry/include/rattanbay/telemetry/log_event.hpp
@@ -53,6 +53,8 @@
     request_unanswered = 5010,
     relay_attempt_silent = 5011,
     relay_replacement_started = 5012,
+    connection_closed = 5013,
+    connection_closed_in_doubt = 5014,
     ledger_rotated = 6001,
     record_unavailable = 6002,
     owner_sealed = 6003,
@@ -77,7 +79,7 @@
 };
 
 /// All log events, ordered by number.
-constexpr std::array<log_event_info, 56> log_events{{
+constexpr std::array<log_event_info, 58> log_events{{
     {log_event::daemon_started, log_level::info, "The daemon listens on all its addresses."},
     {log_event::daemon_draining, log_level::info, "A planned stop began; the daemon leaves the entry lists."},
     {log_event::daemon_stopped, log_level::info, "The planned stop ended; no request was left open."},
@@ -146,6 +148,10 @@
      "An endpoint is silent; the line names whether a replacement is begun, or why not."},
     {log_event::relay_replacement_started, log_level::info,
      "A request was sent to another endpoint while the silent one stays open."},
+    {log_event::connection_closed, log_level::debug,
+     "A client's connection ended; the line names the reason, the idle time and the idle timeout."},
+    {log_event::connection_closed_in_doubt, log_level::info,
+     "An idle connection was closed with unread bytes, or after its idle timeout had changed."},
     {log_event::ledger_rotated, log_level::warning,
      "The ledger was sealed by another VM; a new one was started."},
     {log_event::record_unavailable, log_level::warning, "The ledger's record cannot be written."},
@@ -182,7 +188,7 @@
 };
 
 template <> struct rattanbay::base::enum_names<rattanbay::telemetry::log_event> {
-    static constexpr std::array<enum_name<telemetry::log_event>, 56> table{{
+    static constexpr std::array<enum_name<telemetry::log_event>, 58> table{{
         {telemetry::log_event::daemon_started, "daemon_started"},
         {telemetry::log_event::daemon_draining, "daemon_draining"},
         {telemetry::log_event::daemon_stopped, "daemon_stopped"},
@@ -225,6 +231,8 @@
         {telemetry::log_event::request_unanswered, "request_unanswered"},
         {telemetry::log_event::relay_attempt_silent, "relay_attempt_silent"},
         {telemetry::log_event::relay_replacement_started, "relay_replacement_started"},
+        {telemetry::log_event::connection_closed, "connection_closed"},
+        {telemetry::log_event::connection_closed_in_doubt, "connection_closed_in_doubt"},
         {telemetry::log_event::ledger_rotated, "ledger_rotated"},
         {telemetry::log_event::record_unavailable, "record_unavailable"},
         {telemetry::log_event::owner_sealed, "owner_sealed"},
--- a/packages/telemetry/include/rattanbay/telemetry/metrics.hpp
+++ b/packages/telemetry/include/rattanbay/telemetry/metrics.hpp
@@ -74,6 +74,9 @@
     /// Records the number of pieces that wait at this daemon, which schedules the worker pool.
     void set_waiting_pieces(const base::service_name& service, std::size_t count);
 
+    /// Counts a connection of a client that has ended, by the reason.
+    void record_closed_connection(std::string_view reason);
+
     /// Counts bytes of control traffic to or from other daemons.
     void add_peer_bytes(std::string_view direction, std::size_t count);
 
--- a/packages/telemetry/src/metrics.cpp
+++ b/packages/telemetry/src/metrics.cpp
@@ -75,6 +75,11 @@
             .Name("rattanbay_scheduler_failovers_total")
             .Help("Stages handed to another scheduler after no answer")
             .Register(registry);
+    prometheus::Family<prometheus::Counter>& closed_connections =
+        prometheus::BuildCounter()
+            .Name("rattanbay_closed_connections_total")
+            .Help("Ended client connections by reason")
+            .Register(registry);
     prometheus::Family<prometheus::Counter>& unused_results =
         prometheus::BuildCounter()
             .Name("rattanbay_unused_results_total")
@@ -210,6 +215,10 @@
     state_->scheduler_failovers.Add({{"service", service.text()}}).Increment();
 }
 
+void metrics::record_closed_connection(std::string_view reason) {
+    state_->closed_connections.Add({{"reason", std::string(reason)}}).Increment();
+}
+
 void metrics::add_unused_results(const base::service_name& service, std::size_t count) {
     state_->unused_results.Add({{"service", service.text()}}).Increment(static_cast<double>(count));
 }
