Keep an idle connection for the limit that its client may rely on

Callers saw a connection closed at once when a document shortened the idle timeout, although they could not know of the shorter limit yet: a request sent at that moment got neither an answer nor a refusal. A connection is now kept for the longest limit in force since its last response began or since it was accepted; a shorter one applies from the next response.

--- a/packages/http/include/rattanbay/http/server.hpp
+++ b/packages/http/include/rattanbay/http/server.hpp
@@ -109,8 +109,9 @@
     /// and requests.
     virtual void disable_keep_alive() = 0;
 
-    /// Replaces the limits. Each connection applies them from its next request; a changed idle timeout also
-    /// applies to connections that are idle, counted from the end of their last response.
+    /// Replaces the limits. Each connection applies them from its next request. A longer idle timeout also
+    /// applies to connections that are idle, counted from the end of their last response; a shorter one does
+    /// not, as their clients may not know of it.
     virtual void set_limits(server_limits limits) = 0;
 
     /// Number of open connections.
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -15,6 +15,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <map>
 #include <mutex>
@@ -61,10 +62,13 @@
 /// One accepted connection.
 class session : public std::enable_shared_from_this<session> {
 public:
-    session(tcp::socket socket, std::shared_ptr<beast_server> server, std::uint64_t id)
+    /// `idle_timeout` is the one in force when the connection is accepted.
+    session(tcp::socket socket, std::shared_ptr<beast_server> server, std::uint64_t id,
+            base::duration idle_timeout)
         : stream_(std::move(socket))
         , server_(std::move(server))
-        , id_(id) {}
+        , id_(id)
+        , idle_timeout_(idle_timeout) {}
 
     /// Serves requests until the connection ends.
     asio::awaitable<void> run();
@@ -79,6 +83,14 @@
         }
     }
 
+    /// Applies a longer idle timeout to the wait for a request, if there is one.
+    void extend_idle_timeout(base::duration idle_timeout) {
+        if (idle_timeout > idle_timeout_) {
+            idle_timeout_ = idle_timeout;
+            cancel_wait();
+        }
+    }
+
     asio::any_io_executor executor() { return stream_.get_executor(); }
 
 private:
@@ -108,6 +120,9 @@
     closed_connection end_;
     /// Time at which the wait for a request began.
     std::chrono::steady_clock::time_point idle_since_;
+    /// The longest idle timeout in force since the last response began or the connection was accepted. A
+    /// client may rely on any of them, as it does not know when the server's limits change.
+    base::duration idle_timeout_;
 };
 
 class beast_server final : public server {
@@ -151,7 +166,7 @@
             error_code ignored;
             self->acceptor_.close(ignored);
         });
-        cancel_waits();
+        post_to_sessions([](session& open) { open.cancel_wait(); });
     }
 
     std::size_t open_connections() const override {
@@ -172,8 +187,9 @@
     void set_limits(server_limits limits) override {
         const base::duration previous = limits_.read()->idle_timeout;
         limits_.publish(std::make_shared<server_limits>(limits));
-        if (limits.idle_timeout != previous) {
-            cancel_waits();
+        if (limits.idle_timeout > previous) {
+            post_to_sessions(
+                [timeout = limits.idle_timeout](session& open) { open.extend_idle_timeout(timeout); });
         }
     }
 
@@ -205,12 +221,13 @@
     }
 
 private:
-    void cancel_waits() {
+    /// Calls a function for each open session, on the session's strand.
+    void post_to_sessions(const std::function<void(session&)>& function) {
         const std::lock_guard<std::mutex> lock(mutex_);
         for (const std::pair<const session* const, std::weak_ptr<session>>& entry : sessions_) {
             const std::shared_ptr<session> open = entry.second.lock();
             if (open) {
-                asio::post(open->executor(), [open]() { open->cancel_wait(); });
+                asio::post(open->executor(), [open, function]() { function(*open); });
             }
         }
     }
@@ -237,8 +254,8 @@
     void start_session(tcp::socket socket, const std::shared_ptr<beast_server>& self) {
         error_code ignored;
         socket.set_option(tcp::no_delay(true), ignored);
-        const std::shared_ptr<session> opened =
-            std::make_shared<session>(std::move(socket), self, last_connection_id_.fetch_add(1) + 1);
+        const std::shared_ptr<session> opened = std::make_shared<session>(
+            std::move(socket), self, last_connection_id_.fetch_add(1) + 1, limits().idle_timeout);
         {
             const std::lock_guard<std::mutex> lock(mutex_);
             sessions_.emplace(opened.get(), opened);
@@ -313,7 +330,8 @@
 asio::awaitable<error_code> session::wait_for_first_byte() {
     constexpr std::size_t read_bytes = 4096;
     idle_since_ = std::chrono::steady_clock::now();
-    end_.first_idle_timeout = server_->limits().idle_timeout;
+    end_.first_idle_timeout = idle_timeout_;
+    idle_timeout_ = std::max(idle_timeout_, server_->limits().idle_timeout);
     if (buffer_.size() > 0) {
         co_return error_code();
     }
@@ -322,11 +340,11 @@
     }
     stream_.expires_never();
     error_code ec = asio::error::operation_aborted;
-    // The wait is cancelled without a timeout when the limits change.
+    // The wait is cancelled without a timeout when the idle timeout is extended.
     while (ec == asio::error::operation_aborted && !server_->shutting_down()) {
         const base::duration idle_time =
             std::chrono::duration_cast<base::duration>(std::chrono::steady_clock::now() - idle_since_);
-        read_timeout idle_timeout(stream_, server_->limits().idle_timeout - idle_time);
+        read_timeout idle_timeout(stream_, idle_timeout_ - idle_time);
         const std::size_t size = co_await stream_.async_read_some(
             buffer_.prepare(read_bytes), asio::redirect_error(asio::use_awaitable, ec));
         ec = idle_timeout.finish(ec);
@@ -413,7 +431,9 @@
 }
 
 asio::awaitable<bool> session::serve(request message, bool keep_alive) {
-    beast_responder out(stream_, buffer_, server_->limits().write_timeout, keep_alive, id_);
+    const server_limits limits = server_->limits();
+    beast_responder out(stream_, buffer_, limits.write_timeout, keep_alive, id_);
+    idle_timeout_ = limits.idle_timeout;
     server_->request_started();
     std::optional<std::string> failure;
     try {
