Accept queued connections before a planned stop closes the listener

Callers saw a reset: connections that the kernel had accepted while the thread was held were dropped with the listener, with whole requests on them and no log line, and one that was accepted after the stop had begun was dropped too. The listener now accepts what waits before it closes, and a planned stop does not end before that.

A request of which a part had arrived before the stop was answered before, too; it has a test now.

--- a/packages/http/include/rattanbay/http/server.hpp
+++ b/packages/http/include/rattanbay/http/server.hpp
@@ -101,7 +101,7 @@
 
     virtual ~server() = default;
 
-    /// Stops accepting connections. Connections with a request in progress complete it, respond with
+    /// Stops accepting connections, after those that wait to be accepted. Connections with a request in progress complete it, respond with
     /// `Connection: close` and close; idle connections close at once.
     virtual void shut_down() = 0;
 
@@ -114,6 +114,10 @@
     /// not, as their clients may not know of it.
     virtual void set_limits(server_limits limits) = 0;
 
+    /// Whether connections are still accepted. False soon after `shut_down`, once those that waited to be
+    /// accepted count as open.
+    virtual bool listening() const = 0;
+
     /// Number of open connections.
     virtual std::size_t open_connections() const = 0;
 
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -163,8 +163,10 @@
         shutting_down_.store(true);
         const std::shared_ptr<beast_server> self = std::static_pointer_cast<beast_server>(shared_from_this());
         asio::post(acceptor_.get_executor(), [self]() {
+            self->accept_queued_connections(self);
             error_code ignored;
             self->acceptor_.close(ignored);
+            self->listening_.store(false);
         });
         post_to_sessions([](session& open) { open.cancel_wait(); });
     }
@@ -178,6 +180,8 @@
 
     std::size_t open_requests() const override { return open_requests_.load(); }
 
+    bool listening() const override { return listening_.load(); }
+
     bool shutting_down() const { return shutting_down_.load(); }
 
     void disable_keep_alive() override { keep_alive_.store(false); }
@@ -238,7 +242,7 @@
             error_code ec;
             tcp::socket socket = co_await acceptor_.async_accept(
                 asio::make_strand(context_), asio::redirect_error(asio::use_awaitable, ec));
-            if (ec == asio::error::operation_aborted || shutting_down()) {
+            if (ec == asio::error::operation_aborted) {
                 co_return;
             }
             if (ec) {
@@ -251,6 +255,20 @@
         }
     }
 
+    /// Starts sessions for the connections that wait in the listener's queue. Closing the listener would
+    /// reset them, and requests may have arrived on them.
+    void accept_queued_connections(const std::shared_ptr<beast_server>& self) {
+        error_code ec;
+        acceptor_.non_blocking(true, ec);
+        while (!ec) {
+            tcp::socket socket(asio::make_strand(context_));
+            acceptor_.accept(socket, ec);
+            if (!ec) {
+                start_session(std::move(socket), self);
+            }
+        }
+    }
+
     void start_session(tcp::socket socket, const std::shared_ptr<beast_server>& self) {
         error_code ignored;
         socket.set_option(tcp::no_delay(true), ignored);
@@ -272,6 +290,7 @@
     close_handler close_handler_;
     base::snapshot<server_limits> limits_;
     std::atomic<bool> shutting_down_{false};
+    std::atomic<bool> listening_{true};
     std::atomic<bool> keep_alive_{true};
     std::atomic<std::uint64_t> last_connection_id_{0};
     std::atomic<std::size_t> open_requests_{0};
--- a/packages/http/test/held_thread_test.cpp
+++ b/packages/http/test/held_thread_test.cpp
@@ -33,30 +33,37 @@
     co_await out.send(std::move(response));
 }
 
-/// A client connection that has got one response and is idle.
-class kept_connection {
+/// A client connection on which nothing was sent yet.
+class new_connection {
 public:
-    explicit kept_connection(const base::address& address)
+    explicit new_connection(const base::address& address)
         : socket_(context_) {
         socket_.connect({asio::ip::make_address_v4(address.ip), address.port});
-        send();
-        asio::read_until(socket_, asio::dynamic_buffer(received_), "{}");
-        received_.clear();
     }
 
-    void send() { asio::write(socket_, asio::buffer(get_request)); }
+    void send(const std::string& bytes = get_request) { asio::write(socket_, asio::buffer(bytes)); }
 
     /// Everything received until the response ends or the server closes the connection.
     std::string receive() {
+        std::string received;
         boost::system::error_code ec;
-        asio::read_until(socket_, asio::dynamic_buffer(received_), "{}", ec);
-        return received_;
+        asio::read_until(socket_, asio::dynamic_buffer(received), "{}", ec);
+        return received;
     }
 
 private:
     asio::io_context context_;
     asio::ip::tcp::socket socket_;
-    std::string received_;
+};
+
+/// A client connection that has got one response and is idle.
+class kept_connection : public new_connection {
+public:
+    explicit kept_connection(const base::address& address)
+        : new_connection(address) {
+        send();
+        receive();
+    }
 };
 
 void hold_thread(loopback_server& fixture, std::chrono::milliseconds time) {
@@ -109,6 +116,39 @@
     BOOST_TEST(answered == connections);
 }
 
+// Guards against a planned stop that resets connections which wait in the listener's queue.
+BOOST_AUTO_TEST_CASE(requests_on_connections_not_yet_accepted_at_a_shutdown_are_answered) {
+    constexpr std::size_t connections = 8;
+    loopback_server fixture(serve, reject, {});
+    hold_thread(fixture, hold_time);
+    std::vector<std::unique_ptr<new_connection>> clients;
+    for (std::size_t n = 0; n < connections; ++n) {
+        clients.push_back(std::make_unique<new_connection>(fixture.address));
+        clients.back()->send();
+    }
+    std::this_thread::sleep_for(arrival_time);
+    fixture.server->shut_down();
+    std::size_t answered = 0;
+    for (const std::unique_ptr<new_connection>& client : clients) {
+        answered += client->receive().starts_with("HTTP/1.1 200") ? 1 : 0;
+    }
+    BOOST_TEST(answered == connections);
+}
+
+// Guards against a planned stop that closes a connection on which only a part of a request has arrived.
+BOOST_AUTO_TEST_CASE(a_request_that_arrives_in_parts_around_a_shutdown_is_answered) {
+    loopback_server fixture(serve, reject, {});
+    kept_connection client(fixture.address);
+    hold_thread(fixture, hold_time);
+    client.send(get_request.substr(0, 5));
+    std::this_thread::sleep_for(arrival_time);
+    fixture.server->shut_down();
+    std::this_thread::sleep_for(2 * hold_time);
+    client.send(get_request.substr(5));
+    const std::string answer = client.receive();
+    BOOST_TEST(answer.starts_with("HTTP/1.1 200"), answer);
+}
+
 // Guards against idle connections that outlive a planned stop or the idle timeout.
 BOOST_AUTO_TEST_CASE(idle_connections_are_closed) {
     http::server_limits limits;
