--- a/packages/http/include/rattanbay/http/server.hpp
+++ b/packages/http/include/rattanbay/http/server.hpp
@@ -2,6 +2,7 @@
 
 #include <rattanbay/base/error.hpp>
 #include <rattanbay/base/time.hpp>
+#include <rattanbay/http/closed_connection.hpp>
 #include <rattanbay/http/message.hpp>
 #include <rattanbay/http/unanswered_request.hpp>
 
@@ -28,7 +29,8 @@
     base::duration header_timeout = std::chrono::seconds(10);
     /// Timeout for receiving the body, from the end of the header.
     base::duration body_timeout = std::chrono::seconds(10);
-    /// Time after which a connection without a request is closed.
+    /// Time after which a connection without a request is closed. Responses announce four fifths of it, in
+    /// whole seconds, in `Keep-Alive`.
     base::duration idle_timeout = std::chrono::seconds(60);
     /// Timeout of each write to the client.
     base::duration write_timeout = std::chrono::seconds(10);
@@ -91,26 +93,32 @@
 /// Listens on one address and serves HTTP/1.1 with keep-alive, each connection on its own strand.
 class server : public std::enable_shared_from_this<server> {
 public:
-    /// Binds the address and starts accepting connections. `on_unanswered` may be empty. Error: `unavailable`
-    /// when the address cannot be bound.
+    /// Binds the address and starts accepting connections. `on_unanswered` and `on_closed` may be empty.
+    /// Error: `unavailable` when the address cannot be bound.
     static base::result<std::shared_ptr<server>>
     listen(asio::io_context& context, const base::address& address, request_handler handle_request,
-           rejection_handler reject, server_limits limits, unanswered_handler on_unanswered = {});
+           rejection_handler reject, server_limits limits, unanswered_handler on_unanswered = {},
+           close_handler on_closed = {});
 
     virtual ~server() = default;
 
-    /// Stops accepting connections. Connections with a request in progress complete it, respond with
-    /// `Connection: close` and close; idle connections close at once.
+    /// Stops accepting connections, after those that wait to be accepted. Connections with a request in
+    /// progress complete it, respond with `Connection: close` and close; idle connections close at once.
     virtual void shut_down() = 0;
 
     /// Closes each connection after its current response; the server continues to accept connections
     /// and requests.
     virtual void disable_keep_alive() = 0;
 
-    /// Replaces the limits. Each connection applies them from its next request; a changed idle timeout also
-    /// applies to connections that are idle, counted from the end of their last response.
+    /// Replaces the limits. Each connection applies them from its next request. A longer idle timeout also
+    /// applies to connections that are idle, counted from the end of their last response; a shorter one does
+    /// not, as their clients may not know of it.
     virtual void set_limits(server_limits limits) = 0;
 
+    /// Whether connections are still accepted. False soon after `shut_down`, once those that waited to be
+    /// accepted count as open.
+    virtual bool listening() const = 0;
+
     /// Number of open connections.
     virtual std::size_t open_connections() const = 0;
 
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -15,6 +15,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <map>
 #include <mutex>
@@ -61,10 +62,13 @@
 /// One accepted connection.
 class session : public std::enable_shared_from_this<session> {
 public:
-    session(tcp::socket socket, std::shared_ptr<beast_server> server, std::uint64_t id)
+    /// `idle_timeout` is the one in force when the connection is accepted.
+    session(tcp::socket socket, std::shared_ptr<beast_server> server, std::uint64_t id,
+            base::duration idle_timeout)
         : stream_(std::move(socket))
         , server_(std::move(server))
-        , id_(id) {}
+        , id_(id)
+        , idle_timeout_(idle_timeout) {}
 
     /// Serves requests until the connection ends.
     asio::awaitable<void> run();
@@ -79,6 +83,14 @@
         }
     }
 
+    /// Applies a longer idle timeout to the wait for a request, if there is one.
+    void extend_idle_timeout(base::duration idle_timeout) {
+        if (idle_timeout > idle_timeout_) {
+            idle_timeout_ = idle_timeout;
+            cancel_wait();
+        }
+    }
+
     asio::any_io_executor executor() { return stream_.get_executor(); }
 
 private:
@@ -93,6 +105,8 @@
     asio::awaitable<bool> serve(request message, bool keep_alive);
     void report(unanswered_request request) const;
     void report_partial(const error_code& ec) const;
+    /// Reports the end of the connection, while its socket is still open.
+    void report_end();
     void commit_received(std::size_t bytes);
 
     beast::tcp_stream stream_;
@@ -102,17 +116,25 @@
     bool request_active_ = false;
     /// Time at which bytes of the current request were last read.
     std::chrono::steady_clock::time_point last_byte_;
+    /// What is reported when the connection ends.
+    closed_connection end_;
+    /// Time at which the wait for a request began.
+    std::chrono::steady_clock::time_point idle_since_;
+    /// The longest idle timeout in force since the last response began or the connection was accepted. A
+    /// client may rely on any of them, as it does not know when the server's limits change.
+    base::duration idle_timeout_;
 };
 
 class beast_server final : public server {
 public:
     beast_server(asio::io_context& context, request_handler handle_request, rejection_handler reject,
-                 server_limits limits, unanswered_handler on_unanswered)
+                 server_limits limits, unanswered_handler on_unanswered, close_handler on_closed)
         : context_(context)
         , acceptor_(asio::make_strand(context))
         , request_handler_(std::move(handle_request))
         , rejection_handler_(std::move(reject))
         , unanswered_handler_(std::move(on_unanswered))
+        , close_handler_(std::move(on_closed))
         , limits_(std::make_shared<server_limits>(limits)) {}
 
     error_code bind(const base::address& address) {
@@ -141,10 +163,12 @@
         shutting_down_.store(true);
         const std::shared_ptr<beast_server> self = std::static_pointer_cast<beast_server>(shared_from_this());
         asio::post(acceptor_.get_executor(), [self]() {
+            self->accept_queued_connections(self);
             error_code ignored;
             self->acceptor_.close(ignored);
+            self->listening_.store(false);
         });
-        cancel_waits();
+        post_to_sessions([](session& open) { open.cancel_wait(); });
     }
 
     std::size_t open_connections() const override {
@@ -156,6 +180,8 @@
 
     std::size_t open_requests() const override { return open_requests_.load(); }
 
+    bool listening() const override { return listening_.load(); }
+
     bool shutting_down() const { return shutting_down_.load(); }
 
     void disable_keep_alive() override { keep_alive_.store(false); }
@@ -165,8 +191,9 @@
     void set_limits(server_limits limits) override {
         const base::duration previous = limits_.read()->idle_timeout;
         limits_.publish(std::make_shared<server_limits>(limits));
-        if (limits.idle_timeout != previous) {
-            cancel_waits();
+        if (limits.idle_timeout > previous) {
+            post_to_sessions(
+                [timeout = limits.idle_timeout](session& open) { open.extend_idle_timeout(timeout); });
         }
     }
 
@@ -182,6 +209,12 @@
         }
     }
 
+    void report(const closed_connection& connection) const {
+        if (close_handler_) {
+            close_handler_(connection);
+        }
+    }
+
     void request_started() { open_requests_.fetch_add(1); }
 
     void request_ended() { open_requests_.fetch_sub(1); }
@@ -192,12 +225,13 @@
     }
 
 private:
-    void cancel_waits() {
+    /// Calls a function for each open session, on the session's strand.
+    void post_to_sessions(const std::function<void(session&)>& function) {
         const std::lock_guard<std::mutex> lock(mutex_);
         for (const std::pair<const session* const, std::weak_ptr<session>>& entry : sessions_) {
             const std::shared_ptr<session> open = entry.second.lock();
             if (open) {
-                asio::post(open->executor(), [open]() { open->cancel_wait(); });
+                asio::post(open->executor(), [open, function]() { function(*open); });
             }
         }
     }
@@ -208,7 +242,7 @@
             error_code ec;
             tcp::socket socket = co_await acceptor_.async_accept(
                 asio::make_strand(context_), asio::redirect_error(asio::use_awaitable, ec));
-            if (ec == asio::error::operation_aborted || shutting_down()) {
+            if (ec == asio::error::operation_aborted) {
                 co_return;
             }
             if (ec) {
@@ -221,11 +255,25 @@
         }
     }
 
+    /// Starts sessions for the connections that wait in the listener's queue. Closing the listener would
+    /// reset them, and requests may have arrived on them.
+    void accept_queued_connections(const std::shared_ptr<beast_server>& self) {
+        error_code ec;
+        acceptor_.non_blocking(true, ec);
+        while (!ec) {
+            tcp::socket socket(asio::make_strand(context_));
+            acceptor_.accept(socket, ec);
+            if (!ec) {
+                start_session(std::move(socket), self);
+            }
+        }
+    }
+
     void start_session(tcp::socket socket, const std::shared_ptr<beast_server>& self) {
         error_code ignored;
         socket.set_option(tcp::no_delay(true), ignored);
-        const std::shared_ptr<session> opened =
-            std::make_shared<session>(std::move(socket), self, last_connection_id_.fetch_add(1) + 1);
+        const std::shared_ptr<session> opened = std::make_shared<session>(
+            std::move(socket), self, last_connection_id_.fetch_add(1) + 1, limits().idle_timeout);
         {
             const std::lock_guard<std::mutex> lock(mutex_);
             sessions_.emplace(opened.get(), opened);
@@ -239,8 +287,10 @@
     request_handler request_handler_;
     rejection_handler rejection_handler_;
     unanswered_handler unanswered_handler_;
+    close_handler close_handler_;
     base::snapshot<server_limits> limits_;
     std::atomic<bool> shutting_down_{false};
+    std::atomic<bool> listening_{true};
     std::atomic<bool> keep_alive_{true};
     std::atomic<std::uint64_t> last_connection_id_{0};
     std::atomic<std::size_t> open_requests_{0};
@@ -271,6 +321,19 @@
     report(std::move(request));
 }
 
+void session::report_end() {
+    end_.connection_id = id_;
+    if (end_.reason == close_reason::idle || end_.reason == close_reason::shut_down) {
+        end_.idle_time =
+            std::chrono::duration_cast<base::duration>(std::chrono::steady_clock::now() - idle_since_);
+    }
+    end_.last_idle_timeout = server_->limits().idle_timeout;
+    error_code ec;
+    const std::size_t unread_bytes = stream_.socket().available(ec);
+    end_.unread_bytes = ec ? 0 : unread_bytes;
+    server_->report(end_);
+}
+
 error_code session::take_arrived_bytes(error_code ec) {
     constexpr std::size_t read_bytes = 4096;
     error_code read_error;
@@ -285,6 +348,9 @@
 
 asio::awaitable<error_code> session::wait_for_first_byte() {
     constexpr std::size_t read_bytes = 4096;
+    idle_since_ = std::chrono::steady_clock::now();
+    end_.first_idle_timeout = idle_timeout_;
+    idle_timeout_ = std::max(idle_timeout_, server_->limits().idle_timeout);
     if (buffer_.size() > 0) {
         co_return error_code();
     }
@@ -292,13 +358,12 @@
         co_return take_arrived_bytes(asio::error::operation_aborted);
     }
     stream_.expires_never();
-    const std::chrono::steady_clock::time_point idle_since = std::chrono::steady_clock::now();
     error_code ec = asio::error::operation_aborted;
-    // The wait is cancelled without a timeout when the limits change.
+    // The wait is cancelled without a timeout when the idle timeout is extended.
     while (ec == asio::error::operation_aborted && !server_->shutting_down()) {
         const base::duration idle_time =
-            std::chrono::duration_cast<base::duration>(std::chrono::steady_clock::now() - idle_since);
-        read_timeout idle_timeout(stream_, server_->limits().idle_timeout - idle_time);
+            std::chrono::duration_cast<base::duration>(std::chrono::steady_clock::now() - idle_since_);
+        read_timeout idle_timeout(stream_, idle_timeout_ - idle_time);
         const std::size_t size = co_await stream_.async_read_some(
             buffer_.prepare(read_bytes), asio::redirect_error(asio::use_awaitable, ec));
         ec = idle_timeout.finish(ec);
@@ -385,7 +450,10 @@
 }
 
 asio::awaitable<bool> session::serve(request message, bool keep_alive) {
-    beast_responder out(stream_, buffer_, server_->limits().write_timeout, keep_alive, id_);
+    const server_limits limits = server_->limits();
+    beast_responder out(stream_, buffer_, limits.write_timeout, keep_alive, id_);
+    out.announce_idle_timeout(limits.idle_timeout);
+    idle_timeout_ = limits.idle_timeout;
     server_->request_started();
     std::optional<std::string> failure;
     try {
@@ -419,14 +487,21 @@
     while (open) {
         error_code ec = co_await wait_for_first_byte();
         if (ec) {
+            if (ec == beast::error::timeout) {
+                end_.reason = close_reason::idle;
+            } else if (ec == asio::error::operation_aborted) {
+                end_.reason = close_reason::shut_down;
+            }
             break;
         }
+        ++end_.requests;
         request_active_ = true;
         beast::http::request_parser<beast::http::string_body> parser;
         ec = co_await read_request(parser, server_->limits());
         if (ec) {
             const std::optional<base::error> reason = rejection_error(ec);
             if (reason) {
+                end_.reason = close_reason::rejected;
                 co_await reject(*reason);
             } else {
                 report_partial(ec);
@@ -445,6 +520,9 @@
         request_active_ = false;
         // During a planned stop, the wait for the next request takes only one that has arrived.
         open = reusable;
+        if (!open) {
+            end_.reason = close_reason::after_response;
+        }
     }
 }
 
@@ -458,6 +536,7 @@
         request.detail = error.what();
         report(std::move(request));
     }
+    report_end();
     error_code ignored;
     stream_.socket().shutdown(tcp::socket::shutdown_both, ignored);
     stream_.socket().close(ignored);
@@ -468,9 +547,11 @@
 
 base::result<std::shared_ptr<server>> server::listen(asio::io_context& context, const base::address& address,
                                                      request_handler handle_request, rejection_handler reject,
-                                                     server_limits limits, unanswered_handler on_unanswered) {
-    const std::shared_ptr<beast_server> instance = std::make_shared<beast_server>(
-        context, std::move(handle_request), std::move(reject), limits, std::move(on_unanswered));
+                                                     server_limits limits, unanswered_handler on_unanswered,
+                                                     close_handler on_closed) {
+    const std::shared_ptr<beast_server> instance =
+        std::make_shared<beast_server>(context, std::move(handle_request), std::move(reject), limits,
+                                       std::move(on_unanswered), std::move(on_closed));
     const error_code ec = instance->bind(address);
     if (ec) {
         return base::fail(base::error_code::unavailable, "listen on " + address.text() + ": " + ec.message());
