Read answers that arrived before the timeout of a held client

Callers could get 502 or 504 for a request that its endpoint had answered in time. With the thread held and more than 128 sockets ready, the event loop finds the expired read timer of a connection before its data; the timer of the stream then closed the socket with the answer in it.

operation_timeout cancels an operation only if its socket is not ready, and examines it again shortly after. Before, an operation that was between two reads when its timer fired had no timeout any more.

--- a/packages/http/include/rattanbay/http.hpp
+++ b/packages/http/include/rattanbay/http.hpp
@@ -6,11 +6,13 @@
 /// - client_connection.hpp: one client connection, used by one exchange at a time
 /// - connection_pool.hpp: pool of idle client connections
 /// - message.hpp: requests, responses and header fields
+/// - operation_timeout.hpp: timeout of an operation that does not win over data that has arrived
 /// - server.hpp: listener, connections and their limits
 /// - unanswered_request.hpp: report of a request whose connection ended without a complete response
 
 #include <rattanbay/http/client_connection.hpp>
 #include <rattanbay/http/connection_pool.hpp>
 #include <rattanbay/http/message.hpp>
+#include <rattanbay/http/operation_timeout.hpp>
 #include <rattanbay/http/server.hpp>
 #include <rattanbay/http/unanswered_request.hpp>
--- a/packages/http/src/client_connection.cpp
+++ b/packages/http/src/client_connection.cpp
@@ -1,4 +1,5 @@
 #include <rattanbay/http/client_connection.hpp>
+#include <rattanbay/http/operation_timeout.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -77,8 +78,9 @@
         error_code ec;
         const asio::ip::tcp::endpoint target(asio::ip::make_address_v4(remote_address_.ip),
                                              remote_address_.port);
-        stream_.expires_after(timeout);
+        operation_timeout limit(stream_, timeout, awaited_readiness::write);
         co_await stream_.async_connect(target, asio::redirect_error(asio::use_awaitable, ec));
+        ec = limit.finish(ec);
         if (!ec) {
             error_code ignored;
             stream_.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
@@ -115,9 +117,10 @@
     asio::awaitable<base::result<response_header>> read_header(base::duration timeout) override {
         assert(parser_.has_value());
         error_code ec;
-        stream_.expires_after(timeout);
+        operation_timeout limit(stream_, timeout, awaited_readiness::read);
         co_await beast::http::async_read_header(stream_, buffer_, *parser_,
                                                 asio::redirect_error(asio::use_awaitable, ec));
+        ec = limit.finish(ec);
         if (ec) {
             co_return tl::unexpected<base::error>(to_error(ec, remote_address_, "read from"));
         }
@@ -136,9 +139,10 @@
             parser_->get().body().data = read_buffer_.data();
             parser_->get().body().size = read_buffer_.size();
             error_code ec;
-            stream_.expires_after(timeout);
+            operation_timeout limit(stream_, timeout, awaited_readiness::read);
             co_await beast::http::async_read_some(stream_, buffer_, *parser_,
                                                   asio::redirect_error(asio::use_awaitable, ec));
+            ec = limit.finish(ec);
             if (ec && ec != beast::http::error::need_buffer) {
                 co_return tl::unexpected<base::error>(to_error(ec, remote_address_, "read from"));
             }
@@ -218,9 +222,10 @@
 
     static asio::awaitable<void> write(std::shared_ptr<stream_state> state, beast_request outgoing,
                                        base::duration timeout, error_code& ec) {
-        state->stream.expires_after(timeout);
+        operation_timeout limit(state->stream, timeout, awaited_readiness::write);
         co_await beast::http::async_write(state->stream, outgoing,
                                           asio::redirect_error(asio::use_awaitable, ec));
+        ec = limit.finish(ec);
     }
 
     std::shared_ptr<stream_state> state_;
