Keep a silent stage call open while its pieces are nowhere else

Callers got 503 with most of their time left when an endpoint of a worker pool was silent for a second. A call ended after two full calls and 0.5 s; its pieces were made again, and failed without a budget for that, and two such calls ejected a sound endpoint. On a kept connection the call was also sent a second time on a new one, outside the budget of repeats.

After that time, the pieces of a call are now queued again if another endpoint and the budget allow it, and the call stays open. The first result counts, a later one is released. The call is closed after 2 s more if its pieces are elsewhere. The endpoint gets no further call meanwhile. A call that was silent is not sent again on another connection.

--- a/packages/daemon/src/internal/piece_pool.hpp
+++ b/packages/daemon/src/internal/piece_pool.hpp
@@ -3,8 +3,10 @@
 #include "peer_transport.hpp"
 #include "relay_state.hpp"
 
+#include <rattanbay/http/client_connection.hpp>
 #include <rattanbay/telemetry/metrics.hpp>
 
+#include <boost/asio/steady_timer.hpp>
 #include <tl/expected.hpp>
 
 #include <cstdint>
@@ -57,12 +59,36 @@
         stage_handler on_done;
         std::vector<std::string> handles;
         std::size_t pending_pieces = 0;
+        /// Whether a piece was sent.
+        bool started = false;
+        /// Whether a piece was sent again while its first call was silent.
+        bool repeated = false;
     };
 
     struct piece_job {
         relay::stage_id stage = 0;
         std::size_t piece = 0;
         unsigned attempts = 0;
+        /// Number of calls in progress that the piece is part of.
+        unsigned calls = 0;
+        /// Whether the piece waits in the scheduler.
+        bool waiting = true;
+    };
+
+    /// Call in progress.
+    struct piece_call {
+        piece_call(control_strand strand, relay::piece_batch pieces, base::time_point start_time)
+            : batch(std::move(pieces))
+            , start(start_time)
+            , silence_timer(std::move(strand)) {}
+
+        relay::piece_batch batch;
+        base::time_point start;
+        asio::steady_timer silence_timer;
+        /// Connection of the call while it is in use.
+        http::client_connection* connection = nullptr;
+        bool silent = false;
+        bool ended = false;
     };
 
     /// Scheduler of one service and its state.
@@ -80,7 +106,22 @@
     /// Keeps further calls from an endpoint for as long as its limit on requests asks for. One daemon makes
     /// all calls to a pool, so the limit is not divided.
     void pause_limited(const base::service_name& service, const base::endpoint_id& endpoint);
+    /// Takes the pieces that are still needed from a batch and marks them as sent.
+    relay::piece_batch start_batch(const base::service_name& service, relay::piece_batch batch);
     asio::awaitable<void> send_batch(base::service_name service, relay::piece_batch batch);
+    /// Examines a call in progress after a delay.
+    void watch_silence(const base::service_name& service, const std::shared_ptr<piece_call>& call,
+                       base::duration delay);
+    /// Queues pieces of a silent call again if another endpoint and the budget allow it. The call goes on as
+    /// long as it is the only one of a piece, as an endpoint may be silent for a while and go on; after
+    /// `max_silence` beyond the call's usual time it is closed if its pieces are elsewhere.
+    void handle_silence(const base::service_name& service, const std::shared_ptr<piece_call>& call);
+    std::size_t replace_pieces(const base::service_name& service, const piece_call& call);
+    static void close_call(piece_call& call);
+    /// Whether a piece is in no other call and does not wait.
+    bool is_only_call(const piece_call& call) const;
+    /// Fails a stage whose pieces can no longer start in time, unless all of these are in silent calls.
+    void handle_expired_stage(relay::stage_id id);
     void log_call(const base::service_name& service, const relay::piece_batch& batch,
                   relay::attempt_result result, base::time_point start, const std::string& detail);
     relay::attempt_result read_response(const base::service_name& service, const relay::piece_batch& batch,
@@ -89,8 +130,13 @@
     void handle_results(const base::service_name& service, const relay::piece_batch& batch,
                         const std::vector<relay::piece_result>& results,
                         std::vector<relay::held_result>& held);
-    void retry_batch(const base::service_name& service, relay::piece_batch batch,
+    void retry_batch(const base::service_name& service, const relay::piece_batch& batch,
                      relay::attempt_result result);
+    /// Records the end of a piece's call and returns the piece if it is neither done nor in another call or
+    /// the queue.
+    piece_job* end_piece_call(relay::piece_id id);
+    void requeue(const base::service_name& service, const relay::waiting_piece& piece,
+                 relay::attempt_result result);
     bool try_spend_budget(const base::service_name& service);
     void finish_piece(relay::piece_id id, const std::string& handle);
     void fail_piece(relay::piece_id id, relay::piece_failure failure);
--- a/packages/daemon/src/piece_pool.cpp
+++ b/packages/daemon/src/piece_pool.cpp
@@ -27,7 +27,14 @@
 /// Allowance in a call's timeout for the network and delays at the endpoint.
 constexpr std::chrono::milliseconds call_timeout_margin{500};
 
-/// Timeout of a call that may have to wait for one full call at the endpoint.
+/// Time to read data that arrived while the thread was held: the timer of the silence and the data are ready
+/// together then.
+constexpr std::chrono::milliseconds unread_data_time{5};
+/// Silence beyond the usual time of a call after which a call is closed whose pieces were sent elsewhere. A
+/// sound endpoint may be silent for about a second and go on.
+constexpr std::chrono::seconds max_silence{2};
+
+/// Time after which a call counts as silent. It may have to wait for one full call at the endpoint.
 base::duration call_timeout(const config::piece_limits& pieces) {
     const base::duration full_call =
         pieces.call_overhead + pieces.time_per_piece * static_cast<std::int64_t>(pieces.max_batch_size);
@@ -50,7 +57,7 @@
     }
     const std::shared_ptr<const relay_serving_state> serving = relay_.serving.read();
     const auto budget = serving->resend_budgets.find(service);
-    stage_job job{request, std::move(on_done), {}, request.order.pieces};
+    stage_job job{request, std::move(on_done), {}, request.order.pieces, false, false};
     job.handles.resize(request.order.pieces);
     stages_.emplace(id, std::move(job));
     const base::time_point arrival = now();
@@ -68,7 +75,7 @@
         next.arrival = arrival;
         next.target_start = request.target_start;
         next.latest_start = request.latest_start;
-        pieces_.emplace(next.id, piece_job{id, piece, 0});
+        pieces_.emplace(next.id, piece_job{id, piece, 0, 0, true});
         if (budget != serving->resend_budgets.end()) {
             budget->second->count_request(arrival);
         }
@@ -135,12 +142,19 @@
     configure(service);
     service_queue& queue = queues_[service];
     for (const relay::stage_id expired : queue.scheduler.expire(now())) {
-        fail_stage(expired, relay::piece_failure::deadline_exceeded);
+        handle_expired_stage(expired);
     }
     while (std::optional<relay::piece_batch> batch = queue.scheduler.next_batch(now())) {
+        relay::piece_batch started = start_batch(service, std::move(*batch));
+        if (started.pieces.empty()) {
+            continue;
+        }
         const std::shared_ptr<piece_pool> self = shared_from_this();
         asio::co_spawn(
-            strand_, [self, service, next = std::move(*batch)]() { return self->send_batch(service, next); },
+            strand_,
+            [self, service, next = std::move(started)]() mutable {
+                return self->send_batch(service, std::move(next));
+            },
             asio::detached);
     }
     metrics_.set_waiting_pieces(service, queue.scheduler.waiting());
@@ -149,6 +163,47 @@
     }
 }
 
+void piece_pool::handle_expired_stage(relay::stage_id id) {
+    const auto stage = stages_.find(id);
+    if (stage == stages_.end()) {
+        return;
+    }
+    bool has_only_waiting = !stage->second.repeated;
+    for (auto it = pieces_.begin(); it != pieces_.end() && !has_only_waiting; ++it) {
+        has_only_waiting = it->second.stage == id && it->second.waiting && it->second.calls == 0;
+    }
+    if (has_only_waiting) {
+        fail_stage(id, relay::piece_failure::deadline_exceeded);
+        return;
+    }
+    for (auto& row : pieces_) {
+        row.second.waiting = row.second.waiting && row.second.stage != id;
+    }
+}
+
+relay::piece_batch piece_pool::start_batch(const base::service_name& service, relay::piece_batch batch) {
+    relay::piece_batch needed{std::move(batch.endpoint), {}};
+    relay::stage_id last_stage = 0;
+    for (relay::waiting_piece& piece : batch.pieces) {
+        const auto it = pieces_.find(piece.id);
+        if (it == pieces_.end()) {
+            // It was queued again and has got its result from its first call since.
+            continue;
+        }
+        it->second.waiting = false;
+        ++it->second.calls;
+        if (piece.stage != last_stage) {
+            stages_.at(piece.stage).started = true;
+            last_stage = piece.stage;
+        }
+        needed.pieces.push_back(std::move(piece));
+    }
+    if (needed.pieces.empty()) {
+        queues_[service].scheduler.end_call(needed.endpoint.id, relay::attempt_result::answered, {}, now());
+    }
+    return needed;
+}
+
 void piece_pool::schedule_wakeup(const base::service_name& service) {
     service_queue& queue = queues_[service];
     if (queue.wakeup_scheduled) {
@@ -174,29 +229,115 @@
     }
 }
 
-asio::awaitable<void> piece_pool::send_batch(base::service_name service, relay::piece_batch batch) {
+void piece_pool::watch_silence(const base::service_name& service, const std::shared_ptr<piece_call>& call,
+                               base::duration delay) {
+    call->silence_timer.expires_after(delay);
+    call->silence_timer.async_wait(
+        [weak = weak_from_this(), service, call](const boost::system::error_code& ec) {
+            const std::shared_ptr<piece_pool> self = weak.lock();
+            if (!ec && self && !call->ended) {
+                self->handle_silence(service, call);
+            }
+        });
+}
+
+void piece_pool::handle_silence(const base::service_name& service, const std::shared_ptr<piece_call>& call) {
+    service_queue& queue = queues_[service];
+    if (!call->silent) {
+        call->silent = true;
+        queue.scheduler.set_silent(call->batch.endpoint.id, true);
+        watch_silence(service, call, unread_data_time);
+        return;
+    }
+    if (now() - call->start > queue.call_timeout + max_silence && !is_only_call(*call)) {
+        close_call(*call);
+        watch_silence(service, call, unread_data_time);
+        return;
+    }
+    const std::size_t replaced = replace_pieces(service, *call);
+    telemetry::log(telemetry::log_event::relay_attempt_silent,
+                   {{"service", service.text()},
+                    {"endpoint", call->batch.endpoint.id.text()},
+                    {"pieces", std::to_string(call->batch.pieces.size())},
+                    {"replaced_pieces", std::to_string(replaced)},
+                    {"took_ms", std::to_string(base::to_milliseconds(now() - call->start))}});
+    watch_silence(service, call, queue.call_timeout);
+    if (replaced > 0) {
+        dispatch(service);
+    }
+}
+
+void piece_pool::close_call(piece_call& call) {
+    // Without a connection, one is being opened, which ends by itself.
+    if (call.connection != nullptr) {
+        call.connection->close();
+    }
+}
+
+bool piece_pool::is_only_call(const piece_call& call) const {
+    return std::ranges::any_of(call.batch.pieces, [this](const relay::waiting_piece& piece) {
+        const auto it = pieces_.find(piece.id);
+        return it != pieces_.end() && it->second.calls == 1 && !it->second.waiting;
+    });
+}
+
+std::size_t piece_pool::replace_pieces(const base::service_name& service, const piece_call& call) {
+    std::size_t replaced = 0;
+    for (const relay::waiting_piece& piece : call.batch.pieces) {
+        const auto it = pieces_.find(piece.id);
+        const bool needed = it != pieces_.end() && it->second.calls == 1 && !it->second.waiting &&
+                            it->second.attempts + 1 < max_piece_attempts && now() < piece.latest_start &&
+                            queues_[service].scheduler.has_other_endpoint(call.batch.endpoint.id, now());
+        if (needed && try_spend_budget(service)) {
+            ++it->second.attempts;
+            stages_.at(it->second.stage).repeated = true;
+            requeue(service, piece, relay::attempt_result::timed_out);
+            ++replaced;
+        }
+    }
+    return replaced;
+}
+
+asio::awaitable<void> piece_pool::send_batch(base::service_name service, relay::piece_batch pieces) {
     const base::time_point start = now();
+    const std::shared_ptr<piece_call> call = std::make_shared<piece_call>(strand_, std::move(pieces), start);
+    const relay::piece_batch& batch = call->batch;
     pause_limited(service, batch.endpoint.id);
+    base::time_point latest_start = start;
     std::vector<relay::piece_order> orders;
     for (const relay::waiting_piece& piece : batch.pieces) {
         orders.push_back(piece.order);
         orders.back().time_left = piece.latest_start - start;
+        latest_start = std::max(latest_start, piece.latest_start);
     }
+    const base::duration usual_time = queues_[service].call_timeout;
     http::exchange_timeouts limits;
-    limits.response_header = queues_[service].call_timeout;
+    limits.response_header = latest_start - start + usual_time + max_silence;
+    limits.body_read = limits.response_header;
     http::request message = relay_.protocol->write_piece_request(orders, batch.endpoint.id);
-    const http::send_condition is_available = [this, endpoint = batch.endpoint.id]() {
-        return relay_.balancer.is_available(endpoint, now());
+    // A call that was silent may still run, so it is not sent again on another connection.
+    const http::send_condition is_available = [this, call]() {
+        return !call->silent && relay_.balancer.is_available(call->batch.endpoint.id, now());
+    };
+    const http::connection_observer on_connection = [call](http::client_connection* connection) {
+        call->connection = connection;
     };
-    const base::result<http::response> response = co_await http::exchange(
-        strand_, relay_.pool, batch.endpoint.address, std::move(message), limits, is_available);
+    watch_silence(service, call, usual_time);
+    const base::result<http::response> response =
+        co_await http::exchange(strand_, relay_.pool, batch.endpoint.address, std::move(message), limits,
+                                is_available, on_connection);
+    call->ended = true;
+    call->silence_timer.cancel();
+    if (call->silent) {
+        queues_[service].scheduler.set_silent(batch.endpoint.id, false);
+    }
     std::string detail;
     std::vector<relay::held_result> held;
     const relay::attempt_result result = read_response(service, batch, response, detail, held);
     queues_[service].scheduler.end_call(batch.endpoint.id, result, held, now());
     log_call(service, batch, result, start, detail);
     if (result != relay::attempt_result::answered) {
-        retry_batch(service, std::move(batch), result);
+        retry_batch(service, batch, result);
     }
     dispatch(service);
 }
@@ -261,23 +402,25 @@
     for (std::size_t n = 0; n < batch.pieces.size(); ++n) {
         const relay::waiting_piece& piece = batch.pieces[n];
         const relay::piece_result& outcome = results[n];
-        const auto it = pieces_.find(piece.id);
         if (outcome.handle) {
             held.push_back({*outcome.handle, piece.result_bytes});
         }
-        if (it == pieces_.end()) {
+        if (!pieces_.contains(piece.id)) {
             unneeded.push_back(outcome.handle.value_or(std::string()));
             continue;
         }
+        piece_job* const job = end_piece_call(piece.id);
         const bool is_retryable = outcome.failure == relay::piece_failure::out_of_space ||
                                   outcome.failure == relay::piece_failure::failed;
         if (outcome.handle) {
             finish_piece(piece.id, *outcome.handle);
-        } else if (is_retryable && ++it->second.attempts < max_piece_attempts) {
+        } else if (job == nullptr) {
+            continue;
+        } else if (is_retryable && ++job->attempts < max_piece_attempts) {
             if (outcome.failure == relay::piece_failure::out_of_space) {
                 queues_[service].scheduler.mark_full(batch.endpoint.id, now());
             }
-            queues_[service].scheduler.requeue(piece, relay::attempt_result::answered_with_failure);
+            requeue(service, piece, relay::attempt_result::answered_with_failure);
         } else {
             fail_piece(piece.id, outcome.failure);
         }
@@ -295,19 +438,34 @@
            budget->second->try_spend(now(), relay_.live_daemons.load());
 }
 
-void piece_pool::retry_batch(const base::service_name& service, relay::piece_batch batch,
+piece_pool::piece_job* piece_pool::end_piece_call(relay::piece_id id) {
+    const auto it = pieces_.find(id);
+    if (it == pieces_.end()) {
+        return nullptr;
+    }
+    it->second.calls -= it->second.calls > 0 ? 1 : 0;
+    return it->second.calls == 0 && !it->second.waiting ? &it->second : nullptr;
+}
+
+void piece_pool::requeue(const base::service_name& service, const relay::waiting_piece& piece,
+                         relay::attempt_result result) {
+    pieces_.at(piece.id).waiting = true;
+    queues_[service].scheduler.requeue(piece, result);
+}
+
+void piece_pool::retry_batch(const base::service_name& service, const relay::piece_batch& batch,
                              relay::attempt_result result) {
-    for (relay::waiting_piece& piece : batch.pieces) {
-        const auto it = pieces_.find(piece.id);
-        if (it == pieces_.end()) {
+    for (const relay::waiting_piece& piece : batch.pieces) {
+        piece_job* const job = end_piece_call(piece.id);
+        if (job == nullptr) {
             continue;
         }
         // A call that was declined or not sent did no work, so retrying its pieces needs no budget.
         const bool may_have_run = result == relay::attempt_result::broken;
         const bool allowed =
-            !may_have_run || (++it->second.attempts < max_piece_attempts && try_spend_budget(service));
+            !may_have_run || (++job->attempts < max_piece_attempts && try_spend_budget(service));
         if (allowed) {
-            queues_[service].scheduler.requeue(std::move(piece), result);
+            requeue(service, piece, result);
         } else {
             fail_piece(piece.id, relay::piece_failure::failed);
         }
@@ -321,6 +479,9 @@
     --stage->second.pending_pieces;
     pieces_.erase(it);
     if (stage->second.pending_pieces == 0) {
+        if (stage->second.repeated) {
+            queues_[stage->second.request.service].scheduler.cancel_stage(stage->first);
+        }
         const stage_handler on_done = std::move(stage->second.on_done);
         const std::vector<std::string> handles = std::move(stage->second.handles);
         stages_.erase(stage);
--- a/packages/http/include/rattanbay/http/connection_pool.hpp
+++ b/packages/http/include/rattanbay/http/connection_pool.hpp
@@ -45,12 +45,17 @@
 /// Whether a request may still be sent; evaluated right before each send. Empty if it always may.
 using send_condition = std::function<bool()>;
 
+/// Receives the connection on which a request is about to be sent, and null when the exchange on it has
+/// ended. Closing it ends the exchange.
+using connection_observer = std::function<void(client_connection*)>;
+
 /// Performs one exchange of an idempotent request on a pooled or a new connection. If it fails on a
 /// pooled connection, it is retried once on a new one. Errors besides those of `client_connection`:
 /// `unavailable` if `may_send` did not hold, so that nothing was sent.
 asio::awaitable<base::result<response>> exchange(asio::any_io_executor executor, connection_pool& pool,
                                                  base::address address, request message,
-                                                 exchange_timeouts timeouts, send_condition may_send = {});
+                                                 exchange_timeouts timeouts, send_condition may_send = {},
+                                                 connection_observer on_connection = {});
 
 /// Performs one exchange on a new connection, without retries. After any error other than
 /// `connection_refused` the server may have processed the request.
--- a/packages/http/src/connection_pool.cpp
+++ b/packages/http/src/connection_pool.cpp
@@ -27,6 +27,19 @@
     co_return complete;
 }
 
+asio::awaitable<base::result<response>> observed_exchange(client_connection& connection, request message,
+                                                          exchange_timeouts timeouts,
+                                                          const connection_observer& on_connection) {
+    if (on_connection) {
+        on_connection(&connection);
+    }
+    base::result<response> result = co_await exchange_on(connection, std::move(message), timeouts);
+    if (on_connection) {
+        on_connection(nullptr);
+    }
+    co_return result;
+}
+
 } // namespace
 
 std::unique_ptr<client_connection> connection_pool::acquire(const base::address& address,
@@ -88,7 +101,8 @@
 
 asio::awaitable<base::result<response>> exchange(asio::any_io_executor executor, connection_pool& pool,
                                                  base::address address, request message,
-                                                 exchange_timeouts timeouts, send_condition may_send) {
+                                                 exchange_timeouts timeouts, send_condition may_send,
+                                                 connection_observer on_connection) {
     base::result<response> result = base::fail(base::error_code::unavailable, "the request was not sent");
     std::unique_ptr<client_connection> idle = pool.acquire(address);
     if (idle && may_send && !may_send()) {
@@ -96,12 +110,16 @@
         co_return result;
     }
     if (idle) {
-        result = co_await exchange_on(*idle, message, timeouts);
+        result = co_await observed_exchange(*idle, message, timeouts, on_connection);
         if (result) {
             pool.release(std::move(idle));
             co_return result;
         }
         pool.close_idle(address);
+        idle = nullptr;
+        if (may_send && !may_send()) {
+            co_return result;
+        }
     }
     base::result<std::unique_ptr<client_connection>> opened =
         co_await client_connection::connect(executor, address, timeouts.connect);
@@ -112,7 +130,7 @@
         // After a failed send on the pooled connection, its error says more about the request.
         co_return result;
     }
-    result = co_await exchange_on(**opened, std::move(message), timeouts);
+    result = co_await observed_exchange(**opened, std::move(message), timeouts, on_connection);
     if (result) {
         pool.release(std::move(*opened));
     }
--- a/packages/relay/include/rattanbay/relay/piece_scheduler.hpp
+++ b/packages/relay/include/rattanbay/relay/piece_scheduler.hpp
@@ -95,6 +95,13 @@
     void end_call(const base::endpoint_id& endpoint, attempt_result result,
                   const std::vector<held_result>& results, base::time_point now);
 
+    /// Records that a call in progress is silent or, at its end, no longer is. An endpoint with a silent call
+    /// gets no further one.
+    void set_silent(const base::endpoint_id& endpoint, bool is_silent);
+
+    /// Whether an endpoint other than this one takes calls.
+    bool has_other_endpoint(const base::endpoint_id& endpoint, base::time_point now) const;
+
     /// Records that the endpoint reported a lack of space for a result.
     void mark_full(const base::endpoint_id& endpoint, base::time_point now);
 
@@ -115,6 +122,8 @@
     struct endpoint_state {
         pool_endpoint endpoint;
         std::size_t active_calls = 0;
+        /// Calls in progress that are silent.
+        std::size_t silent_calls = 0;
         /// Expected bytes of the results of calls in progress.
         std::uint64_t reserved_bytes = 0;
         /// Bytes of the results that the endpoint holds.
@@ -155,6 +164,7 @@
     std::size_t pieces_ahead(const waiting_stage& stage, base::time_point now) const;
     void remove_expired_results(base::time_point now);
     std::size_t free_slots(const endpoint_state& state) const;
+    static bool takes_calls(const endpoint_state& state, base::time_point now);
     /// Strict weak ordering of stages by priority.
     static bool has_precedence(const waiting_stage& lhs, const waiting_stage& rhs, base::time_point now);
     bool is_placement_acceptable(const endpoint_state& state, const waiting_piece& piece,
--- a/packages/relay/src/piece_scheduler.cpp
+++ b/packages/relay/src/piece_scheduler.cpp
@@ -142,6 +142,25 @@
     return limit > state.active_calls ? limit - state.active_calls : 0;
 }
 
+bool piece_scheduler::takes_calls(const endpoint_state& state, base::time_point now) {
+    return state.silent_calls == 0 && state.ejected_until <= now && state.paused_until <= now;
+}
+
+void piece_scheduler::set_silent(const base::endpoint_id& endpoint, bool is_silent) {
+    const auto it = endpoints_.find(endpoint);
+    if (it == endpoints_.end()) {
+        return;
+    }
+    std::size_t& calls = it->second.silent_calls;
+    calls = is_silent ? calls + 1 : calls - std::min<std::size_t>(calls, 1);
+}
+
+bool piece_scheduler::has_other_endpoint(const base::endpoint_id& endpoint, base::time_point now) const {
+    return std::ranges::any_of(endpoints_, [&endpoint, now](const auto& entry) {
+        return entry.first != endpoint && takes_calls(entry.second, now);
+    });
+}
+
 bool piece_scheduler::is_placement_acceptable(const endpoint_state& state, const waiting_piece& piece,
                                               base::time_point now) const {
     const bool is_preferred_domain =
@@ -246,8 +265,7 @@
     std::vector<endpoint_state*> free_endpoints;
     for (auto& entry : endpoints_) {
         endpoint_state& state = entry.second;
-        if (free_slots(state) > 0 && state.ejected_until <= now && state.full_until <= now &&
-            state.paused_until <= now) {
+        if (free_slots(state) > 0 && takes_calls(state, now) && state.full_until <= now) {
             free_endpoints.push_back(&state);
         }
     }
