Read acknowledgements of peers that arrived while the thread was held

A daemon whose thread was held took schedulers that had acknowledged a stage in time for unreachable, skipped them for a second and sent the stage to the next daemon, so that two daemons scheduled one pool.

Peer connections use operation_timeout for connects, reads and writes.

--- a/packages/daemon/src/peer_transport.cpp
+++ b/packages/daemon/src/peer_transport.cpp
@@ -1,5 +1,7 @@
 #include "internal/peer_transport.hpp"
 
+#include <rattanbay/http/operation_timeout.hpp>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/read.hpp>
@@ -54,9 +56,10 @@
 asio::awaitable<base::result<peer::frame>> read_frame(beast::tcp_stream& stream, std::string_view secret,
                                                       base::duration timeout, error_code& ec) {
     std::string header(peer::frame_header_bytes, '\0');
-    stream.expires_after(timeout);
+    http::operation_timeout limit(stream, timeout, http::awaited_readiness::read);
     co_await asio::async_read(stream, asio::buffer(header), asio::redirect_error(asio::use_awaitable, ec));
     if (ec) {
+        ec = limit.finish(ec);
         co_return base::fail(base::error_code::connection_broken, ec.message());
     }
     const base::result<std::size_t> size = peer::frame_size(header);
@@ -65,6 +68,7 @@
     }
     std::string body(*size, '\0');
     co_await asio::async_read(stream, asio::buffer(body), asio::redirect_error(asio::use_awaitable, ec));
+    ec = limit.finish(ec);
     if (ec) {
         co_return base::fail(base::error_code::connection_broken, ec.message());
     }
@@ -237,9 +241,11 @@
                                                                                   base::duration timeout) {
     const stream_ptr stream = std::make_shared<beast::tcp_stream>(strand_);
     error_code ec;
-    stream->expires_after(std::min<base::duration>(connect_timeout, timeout));
+    http::operation_timeout limit(*stream, std::min<base::duration>(connect_timeout, timeout),
+                                  http::awaited_readiness::write);
     const tcp::endpoint target(asio::ip::make_address_v4(to.ip), to.port);
     co_await stream->async_connect(target, asio::redirect_error(asio::use_awaitable, ec));
+    ec = limit.finish(ec);
     if (ec) {
         co_return tl::unexpected<base::error>(to_error(ec, to));
     }
@@ -252,8 +258,10 @@
                                                                 base::duration timeout) {
     const std::string bytes = peer::encode(message, shared_.settings.cluster_secret);
     error_code ec;
-    stream->expires_after(std::min<base::duration>(write_timeout, timeout));
+    http::operation_timeout limit(*stream, std::min<base::duration>(write_timeout, timeout),
+                                  http::awaited_readiness::write);
     co_await asio::async_write(*stream, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, ec));
+    ec = limit.finish(ec);
     if (ec) {
         co_return tl::unexpected<base::error>(to_error(ec, to));
     }
