Do not send a peer message that was cancelled while connecting

A stage whose client had left while the connection to its scheduler was being opened was sent all the same, made, and its results thrown away.

The test failed before: bytes of the message had arrived.

--- a/packages/daemon/src/peer_transport.cpp
+++ b/packages/daemon/src/peer_transport.cpp
@@ -324,6 +324,9 @@
             }
             used = *opened;
         }
+        if (handle->cancelled) {
+            co_return base::fail(base::error_code::unavailable, "the message is no longer needed");
+        }
         handle->abort = [stream = used]() { stream->close(); };
         base::result<peer::frame> reply = co_await exchange_on(used, to, message, timeout);
         // A pooled connection can be permanently unresponsive while new ones work.
--- a/packages/daemon/test/peer_transport_test.cpp
+++ b/packages/daemon/test/peer_transport_test.cpp
@@ -102,6 +102,30 @@
     server.join();
 }
 
+// Guards against sending a stage that was cancelled while its connection was being opened.
+BOOST_AUTO_TEST_CASE(a_cancelled_message_is_not_sent) {
+    asio::io_context context;
+    asio::ip::tcp::acceptor silent(context, {asio::ip::make_address_v4("127.0.0.1"), 0});
+    const base::address to{{127, 0, 0, 1}, silent.local_endpoint().port()};
+    internal::shared_state shared(context, settings(), base::incarnation(),
+                                  rattanbay::daemon::platform_protocols::emulated());
+    const internal::control_strand strand = asio::make_strand(context);
+    const std::shared_ptr<internal::peer_transport> transport =
+        std::make_shared<internal::peer_transport>(shared, strand);
+    const std::shared_ptr<internal::exchange_handle> handle = std::make_shared<internal::exchange_handle>();
+    std::future<base::result<peer::frame>> reply = asio::co_spawn(
+        strand, transport->exchange_with_ack(to, peer::make_pieces{}, std::chrono::seconds(10), handle),
+        asio::use_future);
+    context.run_one();
+    handle->cancel();
+    context.run();
+    BOOST_TEST(!reply.get().has_value());
+    asio::ip::tcp::socket accepted = silent.accept();
+    char byte = 0;
+    boost::system::error_code ec;
+    BOOST_TEST(accepted.read_some(asio::buffer(&byte, 1), ec) == 0U);
+}
+
 // A daemon that accepts connections but does not read must not hold up a request until the request has
 // expired.
 BOOST_AUTO_TEST_CASE(a_daemon_that_does_not_acknowledge_a_message_is_detected_early) {
