Give waiting stages back when the scheduler of a pool stops

A daemon that was stopped exited as soon as its own callers were served, with the calls and the queue of the pools that it scheduled. The requesters saw broken connections and had all pieces made again, also those in calls.

At the start of a planned stop, stages of which no piece was sent are now given back with the reason scheduler_stopping, and new ones are refused so; the requester takes them to the next scheduler at once. Calls in progress end and their results are delivered before the daemon exits, within the time for its stop.

--- a/packages/daemon/src/control.cpp
+++ b/packages/daemon/src/control.cpp
@@ -158,6 +158,13 @@
 
 void control_plane::begin_drain() {
     members_->update_self([](peer::member_record& self) { self.draining = true; });
+    if (piece_router_) {
+        piece_router_->begin_drain();
+    }
+}
+
+bool control_plane::has_stages() const {
+    return piece_router_ && piece_router_->has_work();
 }
 
 asio::awaitable<void> control_plane::shut_down() {
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -246,7 +246,9 @@
         }
         caller_server_->shut_down();
         // A connection is open until a request that has arrived on it is answered, also an unread one.
-        while (caller_server_->open_connections() > 0 && now() < drain_deadline) {
+        // Other daemons' requests wait for the stages that are in progress here.
+        while ((caller_server_->open_connections() > 0 || control_plane_->has_stages()) &&
+               now() < drain_deadline) {
             co_await sleep_for(drain_poll_interval);
             if (shared_.relay && now() >= shared_.relay->stop_deadline.load()) {
                 shared_.relay->open_requests->end_all();
--- a/packages/daemon/src/internal/control.hpp
+++ b/packages/daemon/src/internal/control.hpp
@@ -37,9 +37,14 @@
     /// Text of the key prefix that a member issues.
     std::string key_prefix_text(const peer::member_record& member) const;
 
-    /// Announces this daemon as draining. Must be called on the control strand.
+    /// Announces this daemon as draining and gives waiting stages back to the daemons of their requests. Must
+    /// be called on the control strand.
     void begin_drain();
 
+    /// Whether stages are in progress at the worker pools that this daemon schedules, or their results have
+    /// not been delivered. Must be called on the control strand.
+    bool has_stages() const;
+
     /// Seals the ledger's record and leaves the membership. Must run on the control strand.
     asio::awaitable<void> shut_down();
 
--- a/packages/daemon/src/internal/peer_transport.hpp
+++ b/packages/daemon/src/internal/peer_transport.hpp
@@ -87,6 +87,9 @@
                                                                  base::duration timeout,
                                                                  std::shared_ptr<exchange_handle> handle);
 
+    /// Whether messages that were acknowledged have no reply yet.
+    bool has_unsent_replies() const { return open_replies_ > 0; }
+
     void stop();
 
 private:
@@ -129,6 +132,8 @@
     frame_handler on_frame_;
     std::array<char, 2048> receive_buffer_{};
     std::map<base::address, std::vector<pooled_connection>> pool_;
+    /// Number of acknowledged messages whose reply is not written.
+    std::size_t open_replies_ = 0;
     bool stopped_ = false;
 };
 
--- a/packages/daemon/src/internal/piece_pool.hpp
+++ b/packages/daemon/src/internal/piece_pool.hpp
@@ -53,6 +53,12 @@
     /// Tells the holders of results that these are no longer needed.
     void release(const base::service_name& service, const std::vector<std::string>& handles);
 
+    /// Ends the stages of which no piece was sent yet with `scheduler_stopping`.
+    void hand_back_waiting();
+
+    /// Whether stages or releases are in progress.
+    bool has_work() const { return !stages_.empty() || flush_scheduled_; }
+
 private:
     struct stage_job {
         stage_request request;
--- a/packages/daemon/src/internal/piece_router.hpp
+++ b/packages/daemon/src/internal/piece_router.hpp
@@ -34,6 +34,12 @@
     asio::awaitable<peer::frame> handle_make_pieces(peer::make_pieces message,
                                                     std::shared_ptr<requester_link> requester);
 
+    /// Gives the stages that wait here back to the daemons of their requests, and takes no more of these.
+    void begin_drain();
+
+    /// Whether stages are in progress here, or their results have not been delivered.
+    bool has_work() const;
+
     /// Releases results of another daemon's requests.
     void handle_release(const peer::release_pieces& message);
 
@@ -60,6 +66,7 @@
     piece_pool& pool_;
     peer_transport& transport_;
     control_strand strand_;
+    bool draining_ = false;
     /// Daemons that could not be reached, with the time until which they are skipped.
     std::map<base::address, base::time_point> unreachable_until_;
 };
--- a/packages/daemon/src/peer_transport.cpp
+++ b/packages/daemon/src/peer_transport.cpp
@@ -214,10 +214,13 @@
     const std::shared_ptr<requester_link> link = std::make_shared<requester_link>();
     asio::co_spawn(
         strand_, [self, stream, link]() { return self->watch_requester(stream, link); }, asio::detached);
+    ++open_replies_;
     const peer::frame reply = co_await on_frame_(std::move(message), link);
     error_code ignored;
     stream->socket().cancel(ignored);
-    if (link->lost || !co_await write_frame(stream, remote, reply, write_timeout)) {
+    const bool delivered = !link->lost && co_await write_frame(stream, remote, reply, write_timeout);
+    --open_replies_;
+    if (!delivered) {
         link->notify_lost();
         co_return false;
     }
--- a/packages/daemon/src/piece_pool.cpp
+++ b/packages/daemon/src/piece_pool.cpp
@@ -95,6 +95,18 @@
     }
 }
 
+void piece_pool::hand_back_waiting() {
+    std::vector<relay::stage_id> waiting;
+    for (const auto& row : stages_) {
+        if (!row.second.started) {
+            waiting.push_back(row.first);
+        }
+    }
+    for (const relay::stage_id id : waiting) {
+        fail_stage(id, relay::piece_failure::scheduler_stopping);
+    }
+}
+
 void piece_pool::remove_stage(std::map<relay::stage_id, stage_job>::iterator stage) {
     const base::service_name service = stage->second.request.service;
     queues_[service].scheduler.cancel_stage(stage->first);
--- a/packages/daemon/src/piece_router.cpp
+++ b/packages/daemon/src/piece_router.cpp
@@ -98,9 +98,18 @@
     if (ticket->cancelled) {
         co_return;
     }
-    const relay::stage_id stage = pool_.submit(
-        std::move(request), [self, service, on_done = std::move(on_done)](const stage_result& result) {
-            self->record_stage(service, "own", result);
+    const relay::stage_id stage =
+        pool_.submit(request, [self, request, on_done, ticket](const stage_result& result) {
+            self->record_stage(request.service, "own", result);
+            if (!result && result.error() == relay::piece_failure::scheduler_stopping) {
+                asio::co_spawn(
+                    self->strand_,
+                    [self, request, on_done, ticket]() {
+                        return self->submit_with_failover(request, on_done, ticket);
+                    },
+                    asio::detached);
+                return;
+            }
             on_done(result);
         });
     ticket->abort = [self, stage]() { self->pool_.cancel(stage); };
@@ -169,6 +178,9 @@
     }
     std::vector<std::string> handles;
     for (const relay::piece_result& result : made->results) {
+        if (!result.handle && result.failure == relay::piece_failure::scheduler_stopping) {
+            co_return false;
+        }
         if (!result.handle) {
             on_done(tl::unexpected(result.failure));
             co_return true;
@@ -213,6 +225,12 @@
 asio::awaitable<peer::frame> piece_router::handle_make_pieces(peer::make_pieces message,
                                                               std::shared_ptr<requester_link> requester) {
     const std::shared_ptr<piece_router> self = shared_from_this();
+    if (draining_) {
+        peer::pieces_made stopping;
+        stopping.results.push_back(
+            relay::piece_result{std::nullopt, relay::piece_failure::scheduler_stopping});
+        co_return peer::frame(std::move(stopping));
+    }
     const base::time_point time = now();
     const base::service_name service = message.service;
     stage_request request;
@@ -254,6 +272,15 @@
     co_return peer::frame(std::move(out));
 }
 
+void piece_router::begin_drain() {
+    draining_ = true;
+    pool_.hand_back_waiting();
+}
+
+bool piece_router::has_work() const {
+    return pool_.has_work() || transport_.has_unsent_replies();
+}
+
 void piece_router::handle_release(const peer::release_pieces& message) {
     pool_.release(message.service, message.handles);
 }
--- a/packages/peer/src/internal/wire.hpp
+++ b/packages/peer/src/internal/wire.hpp
@@ -205,7 +205,7 @@
     template <> struct convert<rattanbay::relay::piece_result> {
         const msgpack::object& operator()(const msgpack::object& from,
                                           rattanbay::relay::piece_result& value) const {
-            constexpr std::uint8_t failure_count = 4;
+            constexpr std::uint8_t failure_count = 5;
             std::string handle;
             std::uint8_t failure = 0;
             wire::unpack_fields(from, handle, failure);
--- a/packages/relay/include/rattanbay/relay/messages.hpp
+++ b/packages/relay/include/rattanbay/relay/messages.hpp
@@ -130,7 +130,8 @@
 };
 
 /// Why a piece was not computed.
-enum class piece_failure { deadline_exceeded, input_missing, out_of_space, failed };
+/// With `scheduler_stopping`, nothing of the stage has run, and the next scheduler takes it.
+enum class piece_failure { deadline_exceeded, input_missing, out_of_space, failed, scheduler_stopping };
 
 /// Outcome of a piece: the handle of its result, or the failure if there is none.
 struct piece_result {
@@ -146,10 +147,11 @@
 } // namespace rattanbay::relay
 
 template <> struct rattanbay::base::enum_names<rattanbay::relay::piece_failure> {
-    static constexpr std::array<enum_name<relay::piece_failure>, 4> table{{
+    static constexpr std::array<enum_name<relay::piece_failure>, 5> table{{
         {relay::piece_failure::deadline_exceeded, "deadline_exceeded"},
         {relay::piece_failure::input_missing, "input_missing"},
         {relay::piece_failure::out_of_space, "out_of_space"},
         {relay::piece_failure::failed, "failed"},
+        {relay::piece_failure::scheduler_stopping, "scheduler_stopping"},
     }};
 };
