--- a/packages/http/include/rattanbay/http.hpp
+++ b/packages/http/include/rattanbay/http.hpp
@@ -7,6 +7,7 @@
 /// - closed_connection.hpp: report of a connection of a server that has ended
 /// - connection_pool.hpp: pool of idle client connections
 /// - message.hpp: requests, responses and header fields
+/// - operation_timeout.hpp: timeout of an operation that does not win over data that has arrived
 /// - server.hpp: listener, connections and their limits
 /// - unanswered_request.hpp: report of a request whose connection ended without a complete response
 
@@ -14,5 +15,6 @@
 #include <rattanbay/http/closed_connection.hpp>
 #include <rattanbay/http/connection_pool.hpp>
 #include <rattanbay/http/message.hpp>
+#include <rattanbay/http/operation_timeout.hpp>
 #include <rattanbay/http/server.hpp>
 #include <rattanbay/http/unanswered_request.hpp>
--- a/packages/relay/include/rattanbay/relay/piece_scheduler.hpp
+++ b/packages/relay/include/rattanbay/relay/piece_scheduler.hpp
@@ -111,6 +111,13 @@
     void end_call(const base::endpoint_id& endpoint, attempt_result result,
                   const std::vector<held_result>& results, base::time_point now);
 
+    /// Records that a call in progress is silent or, at its end, no longer is. An endpoint with a silent call
+    /// gets no further one.
+    void set_silent(const base::endpoint_id& endpoint, bool is_silent);
+
+    /// Whether an endpoint other than this one takes calls.
+    bool has_other_endpoint(const base::endpoint_id& endpoint, base::time_point now) const;
+
     /// Records that the endpoint reported a lack of space for a result.
     void mark_full(const base::endpoint_id& endpoint, base::time_point now);
 
@@ -131,6 +138,8 @@
     struct endpoint_state {
         pool_endpoint endpoint;
         std::size_t active_calls = 0;
+        /// Calls in progress that are silent.
+        std::size_t silent_calls = 0;
         /// Expected bytes of the results of calls in progress.
         std::uint64_t reserved_bytes = 0;
         /// Bytes of the results that the endpoint holds.
@@ -189,6 +198,7 @@
     void hold_result(const base::endpoint_id& endpoint, const held_result& held, base::time_point expiry);
     void remove_expired_results(base::time_point now);
     std::size_t free_slots(const endpoint_state& state) const;
+    static bool takes_calls(const endpoint_state& state, base::time_point now);
     /// Strict weak ordering of stages by priority.
     static bool has_precedence(const waiting_stage& lhs, const waiting_stage& rhs, base::time_point now);
     bool is_placement_acceptable(const endpoint_state& state, const waiting_piece& piece,
