--- a/packages/membership/test/pool_plan_test.cpp
+++ b/packages/membership/test/pool_plan_test.cpp
@@ -288,7 +288,7 @@
 // Guards against a plan for daemons that may not schedule, and against stages of a pool without endpoints
 // that wait at every daemon.
 BOOST_AUTO_TEST_CASE(missing_members_and_endpoints_are_planned_for) {
-    const pool next = grown_site_pools.front();
+    const pool& next = grown_site_pools.front();
     BOOST_TEST(plan({}, next).shards.empty());
     BOOST_CHECK(membership::select_shard(plan({}, next), "r1", {}) == nullptr);
     std::vector<peer::member_record> members = make_members({50, 50, 50, 12});
