Announce for how long an idle connection may be used

Callers saw a request that got neither an answer nor a refusal: clients reuse connections until the server closes them, so that a request crosses the close. Nothing told the clients when to stop. Responses now carry Keep-Alive with four fifths of the idle timeout; the rest is for a request on its way and for a thread that is held.

--- a/packages/http/include/rattanbay/http/server.hpp
+++ b/packages/http/include/rattanbay/http/server.hpp
@@ -29,7 +29,8 @@
     base::duration header_timeout = std::chrono::seconds(10);
     /// Timeout for receiving the body, from the end of the header.
     base::duration body_timeout = std::chrono::seconds(10);
-    /// Time after which a connection without a request is closed.
+    /// Time after which a connection without a request is closed. Responses announce four fifths of it, in
+    /// whole seconds, in `Keep-Alive`.
     base::duration idle_timeout = std::chrono::seconds(60);
     /// Timeout of each write to the client.
     base::duration write_timeout = std::chrono::seconds(10);
@@ -101,8 +102,8 @@
 
     virtual ~server() = default;
 
-    /// Stops accepting connections, after those that wait to be accepted. Connections with a request in progress complete it, respond with
-    /// `Connection: close` and close; idle connections close at once.
+    /// Stops accepting connections, after those that wait to be accepted. Connections with a request in
+    /// progress complete it, respond with `Connection: close` and close; idle connections close at once.
     virtual void shut_down() = 0;
 
     /// Closes each connection after its current response; the server continues to accept connections
--- a/packages/http/src/internal/beast_responder.hpp
+++ b/packages/http/src/internal/beast_responder.hpp
@@ -42,6 +42,13 @@
 
     void close_after_response() override { keep_alive_ = false; }
 
+    /// Announces in the response that the connection stays open without a request; the server must keep it
+    /// for `idle_timeout`. The announced time is shorter, so that a request at its end still arrives in time.
+    void announce_idle_timeout(base::duration idle_timeout) {
+        announced_idle_time_ = std::chrono::duration_cast<std::chrono::seconds>(
+            idle_timeout * announced_share_numerator / announced_share_denominator);
+    }
+
     /// Stops the monitoring that `on_disconnect` started.
     asio::awaitable<void> stop_disconnect_monitor() {
         if (disconnect_monitor_) {
@@ -55,7 +62,7 @@
         beast::http::response<beast::http::string_body> out;
         out.version(http_1_1);
         out.result(static_cast<unsigned>(message.status));
-        out.keep_alive(keep_alive_);
+        set_keep_alive(out);
         for (const field& entry : message.fields.list()) {
             out.insert(entry.name, entry.value);
         }
@@ -75,7 +82,7 @@
         beast::http::response<beast::http::empty_body> out;
         out.version(http_1_1);
         out.result(static_cast<unsigned>(header.status));
-        out.keep_alive(keep_alive_);
+        set_keep_alive(out);
         out.chunked(true);
         for (const field& entry : header.fields.list()) {
             out.insert(entry.name, entry.value);
@@ -156,6 +163,19 @@
 
 private:
     static constexpr int http_1_1 = 11;
+    /// Clients reuse connections that have been idle for up to four fifths of the idle timeout. The rest is
+    /// for a request on its way and for a thread that is held.
+    static constexpr int announced_share_numerator = 4;
+    static constexpr int announced_share_denominator = 5;
+
+    template <class Body> void set_keep_alive(beast::http::response<Body>& out) const {
+        out.keep_alive(keep_alive_);
+        if (keep_alive_ && announced_idle_time_.count() > 0) {
+            out.set(beast::http::field::connection, "keep-alive");
+            out.set(beast::http::field::keep_alive,
+                    "timeout=" + std::to_string(announced_idle_time_.count()));
+        }
+    }
 
     base::result<void> record(const error_code& ec) {
         if (!ec) {
@@ -172,6 +192,8 @@
     base::duration write_timeout_;
     bool keep_alive_;
     std::uint64_t connection_id_;
+    /// Whole seconds, the unit of the header field; 0 announces nothing.
+    std::chrono::seconds announced_idle_time_{0};
     std::shared_ptr<disconnect_monitor> disconnect_monitor_;
     bool started_ = false;
     bool complete_ = false;
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -452,6 +452,7 @@
 asio::awaitable<bool> session::serve(request message, bool keep_alive) {
     const server_limits limits = server_->limits();
     beast_responder out(stream_, buffer_, limits.write_timeout, keep_alive, id_);
+    out.announce_idle_timeout(limits.idle_timeout);
     idle_timeout_ = limits.idle_timeout;
     server_->request_started();
     std::optional<std::string> failure;
