--- a/packages/daemon/src/internal/piece_pool.hpp
+++ b/packages/daemon/src/internal/piece_pool.hpp
@@ -53,10 +53,13 @@
 
 private:
     struct stage_job {
+        /// Without the inputs, which the pieces hold.
         stage_request request;
         stage_handler on_done;
         std::vector<std::string> handles;
         std::size_t pending_pieces = 0;
+        /// Identifier of the first piece; those of the others follow it.
+        relay::piece_id first_piece = 0;
     };
 
     struct piece_job {
--- a/packages/daemon/src/piece_pool.cpp
+++ b/packages/daemon/src/piece_pool.cpp
@@ -50,17 +50,19 @@
     }
     const std::shared_ptr<const relay_serving_state> serving = relay_.serving.read();
     const auto budget = serving->resend_budgets.find(service);
-    stage_job job{request, std::move(on_done), {}, request.order.pieces};
-    job.handles.resize(request.order.pieces);
-    stages_.emplace(id, std::move(job));
+    const std::shared_ptr<const std::vector<std::string>> inputs =
+        std::make_shared<const std::vector<std::string>>(std::move(request.order.inputs));
+    request.order.inputs.clear();
     const base::time_point arrival = now();
     std::vector<relay::waiting_piece> waiting;
+    waiting.reserve(request.order.pieces);
+    const relay::piece_id first_piece = last_piece_id_ + 1;
     for (std::size_t piece = 0; piece < request.order.pieces; ++piece) {
         relay::waiting_piece next;
         next.id = ++last_piece_id_;
         next.stage = id;
-        next.order = relay::piece_order{request.order.request, request.order.stage, piece, {},
-                                        request.order.key,     request.order.inputs};
+        next.order = relay::piece_order{
+            request.order.request, request.order.stage, piece, {}, request.order.key, inputs};
         next.preferred_domain = request.preferred_domain;
         next.result_bytes = request.order.result_bytes;
         next.transfer_bytes = std::max(request.order.result_bytes, request.order.input_bytes);
@@ -68,12 +70,15 @@
         next.arrival = arrival;
         next.target_start = request.target_start;
         next.latest_start = request.latest_start;
-        pieces_.emplace(next.id, piece_job{id, piece, 0});
+        pieces_.emplace_hint(pieces_.end(), next.id, piece_job{id, piece, 0});
         if (budget != serving->resend_budgets.end()) {
             budget->second->count_request(arrival);
         }
         waiting.push_back(std::move(next));
     }
+    stage_job job{std::move(request), std::move(on_done), {}, waiting.size(), first_piece};
+    job.handles.resize(waiting.size());
+    stages_.emplace(id, std::move(job));
     if (waiting.empty() || !queues_[service].scheduler.add_stage(std::move(waiting), arrival)) {
         fail_stage(id, relay::piece_failure::deadline_exceeded);
     }
@@ -91,7 +96,9 @@
 void piece_pool::remove_stage(std::map<relay::stage_id, stage_job>::iterator stage) {
     const base::service_name service = stage->second.request.service;
     queues_[service].scheduler.cancel_stage(stage->first);
-    std::erase_if(pieces_, [stage](const auto& row) { return row.second.stage == stage->first; });
+    const relay::piece_id first_piece = stage->second.first_piece;
+    const relay::piece_id end_piece = first_piece + stage->second.request.order.pieces;
+    pieces_.erase(pieces_.lower_bound(first_piece), pieces_.lower_bound(end_piece));
     const std::vector<std::string> handles = std::move(stage->second.handles);
     stages_.erase(stage);
     release(service, handles);
@@ -140,7 +147,10 @@
     while (std::optional<relay::piece_batch> batch = queue.scheduler.next_batch(now())) {
         const std::shared_ptr<piece_pool> self = shared_from_this();
         asio::co_spawn(
-            strand_, [self, service, next = std::move(*batch)]() { return self->send_batch(service, next); },
+            strand_,
+            [self, service, next = std::move(*batch)]() mutable {
+                return self->send_batch(service, std::move(next));
+            },
             asio::detached);
     }
     metrics_.set_waiting_pieces(service, queue.scheduler.waiting());
@@ -178,6 +188,7 @@
     const base::time_point start = now();
     pause_limited(service, batch.endpoint.id);
     std::vector<relay::piece_order> orders;
+    orders.reserve(batch.pieces.size());
     for (const relay::waiting_piece& piece : batch.pieces) {
         orders.push_back(piece.order);
         orders.back().time_left = piece.latest_start - start;
@@ -322,9 +333,9 @@
     pieces_.erase(it);
     if (stage->second.pending_pieces == 0) {
         const stage_handler on_done = std::move(stage->second.on_done);
-        const std::vector<std::string> handles = std::move(stage->second.handles);
+        const stage_result result = std::move(stage->second.handles);
         stages_.erase(stage);
-        on_done(handles);
+        on_done(result);
     }
 }
 
@@ -361,13 +372,13 @@
     boost::system::error_code ec;
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
     flush_scheduled_ = false;
-    const std::map<base::address, std::vector<std::string>> pending = std::move(releases_);
+    std::map<base::address, std::vector<std::string>> pending = std::move(releases_);
     releases_.clear();
-    for (const auto& row : pending) {
+    for (auto& row : pending) {
         asio::co_spawn(
             strand_,
-            [self, holder = row.first, handles = row.second]() {
-                return self->send_release(holder, handles);
+            [self, holder = row.first, handles = std::move(row.second)]() mutable {
+                return self->send_release(holder, std::move(handles));
             },
             asio::detached);
     }
--- a/packages/relay/include/rattanbay/relay/messages.hpp
+++ b/packages/relay/include/rattanbay/relay/messages.hpp
@@ -7,6 +7,7 @@
 #include <rattanbay/http/message.hpp>
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -110,8 +111,8 @@
     base::duration time_left{};
     /// Identifies the input of a piece of a first stage.
     std::string key;
-    /// Handles of the results that the piece needs.
-    std::vector<std::string> inputs;
+    /// Handles of the results that the piece needs, shared by all pieces of the stage; null if it needs none.
+    std::shared_ptr<const std::vector<std::string>> inputs;
 };
 
 /// All pieces of one stage of a request; they share the same inputs.
