--- a/packages/base/src/hash.cpp
+++ b/packages/base/src/hash.cpp
@@ -1,10 +1,12 @@
 #include <rattanbay/base/hash.hpp>
 
-#include <openssl/hmac.h>
+#include <openssl/core_names.h>
+#include <openssl/evp.h>
 #include <openssl/sha.h>
 #include <xxhash.h>
 
 #include <cassert>
+#include <memory>
 
 namespace rattanbay::base {
 
@@ -26,6 +28,50 @@
     return value;
 }
 
+/// Computes HMAC-SHA256 codes. A daemon uses one key for all messages, and preparing the library for a key
+/// takes longer than a short message, so the prepared state of the last key is kept. Not thread-safe.
+class hmac_sha256 {
+public:
+    digest compute(std::string_view key, std::string_view data) {
+        digest out{};
+        std::size_t size = 0;
+        const bool succeeded =
+            prepare(key) == 1 &&
+            EVP_MAC_update(context_.get(), reinterpret_cast<const unsigned char*>(data.data()),
+                           data.size()) == 1 &&
+            EVP_MAC_final(context_.get(), out.data(), &size, out.size()) == 1;
+        assert(succeeded && size == out.size());
+        static_cast<void>(succeeded);
+        return out;
+    }
+
+private:
+    struct deleter {
+        void operator()(EVP_MAC* mac) const { EVP_MAC_free(mac); }
+
+        void operator()(EVP_MAC_CTX* context) const { EVP_MAC_CTX_free(context); }
+    };
+
+    int prepare(std::string_view key) {
+        if (is_keyed_ && key == key_) {
+            return EVP_MAC_init(context_.get(), nullptr, 0, nullptr);
+        }
+        key_ = key;
+        is_keyed_ = true;
+        std::string name = "SHA256";
+        const std::array<OSSL_PARAM, 2> parameters{
+            OSSL_PARAM_construct_utf8_string(OSSL_MAC_PARAM_DIGEST, name.data(), 0),
+            OSSL_PARAM_construct_end()};
+        return EVP_MAC_init(context_.get(), reinterpret_cast<const unsigned char*>(key_.data()), key_.size(),
+                            parameters.data());
+    }
+
+    std::unique_ptr<EVP_MAC, deleter> mac_{EVP_MAC_fetch(nullptr, "HMAC", nullptr)};
+    std::unique_ptr<EVP_MAC_CTX, deleter> context_{EVP_MAC_CTX_new(mac_.get())};
+    std::string key_;
+    bool is_keyed_ = false;
+};
+
 std::string hex64(std::uint64_t value) {
     std::array<std::uint8_t, sizeof(value)> bytes{};
     for (std::size_t n = bytes.size(); n > 0; --n) {
@@ -57,13 +103,8 @@
 }
 
 std::uint64_t hmac64(std::string_view key, std::string_view data) {
-    digest value{};
-    unsigned size = 0;
-    const unsigned char* const computed =
-        HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()),
-             reinterpret_cast<const unsigned char*>(data.data()), data.size(), value.data(), &size);
-    assert(computed != nullptr && size == value.size());
-    static_cast<void>(computed);
+    thread_local hmac_sha256 codes;
+    const digest value = codes.compute(key, data);
     return read_big_endian(value.data());
 }
 
--- a/packages/base/test/identity_test.cpp
+++ b/packages/base/test/identity_test.cpp
@@ -33,6 +33,21 @@
     BOOST_TEST(base::secure_hash("abc").text() == "ba7816bf8f01cfea414140de5dae2223");
 }
 
+// Guards against a code that is computed with the key of an earlier message, as the prepared state of the
+// last key is kept. The expected values are from RFC 4231, cases 1, 2 and 6, and of the empty key and data.
+BOOST_AUTO_TEST_CASE(codes_of_alternating_keys_match_published_vectors) {
+    const std::string short_key(20, '\x0b');
+    const std::string long_key(131, '\xaa');
+    for (int n = 0; n < 3; ++n) {
+        BOOST_TEST(base::hmac64(short_key, "Hi There") == 0xb0344c61d8db3853ULL);
+        BOOST_TEST(base::hmac64(short_key, "Hi There") == 0xb0344c61d8db3853ULL);
+        BOOST_TEST(base::hmac64("Jefe", "what do ya want for nothing?") == 0x5bdcc146bf60754eULL);
+        BOOST_TEST(base::hmac64("", "") == 0xb613679a0814d9ecULL);
+        BOOST_TEST(base::hmac64(long_key, "Test Using Larger Than Block-Size Key - Hash Key First") ==
+                   0x60e431591ee0b67fULL);
+    }
+}
+
 // A problem kind without a status would fail an assertion and abort the process when it occurs.
 BOOST_AUTO_TEST_CASE(every_problem_kind_has_a_status_and_title) {
     for (const base::enum_name<base::problem_kind>& entry : base::enum_names<base::problem_kind>::table) {
