Read the messages of other daemons with one system call

The header and the body of each message were read separately, with a timer and a system call each, and checking for a closed connection set the socket's mode each time. A connection carries one message at a time, so bytes behind a message are rejected.

--- a/packages/daemon/src/peer_transport.cpp
+++ b/packages/daemon/src/peer_transport.cpp
@@ -45,7 +45,9 @@
 bool is_closed(tcp::socket& socket) {
     char byte = 0;
     error_code ec;
-    socket.non_blocking(true, ec);
+    if (!socket.non_blocking()) {
+        socket.non_blocking(true, ec);
+    }
     const std::size_t size = socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
     return ec != asio::error::would_block && (ec || size == 0);
 }
@@ -71,6 +73,42 @@
     co_return peer::decode_frame(body, secret);
 }
 
+/// Receive buffer of a serving connection; frames that schedule pieces fit into it.
+using request_buffer = std::array<char, 4096>;
+
+/// Like `read_frame`, but mostly with one read. A daemon sends its next message on a connection when it has
+/// the reply, so that nothing may follow the frame.
+asio::awaitable<base::result<peer::frame>> read_request(beast::tcp_stream& stream, std::string_view secret,
+                                                        base::duration timeout, request_buffer& buffer,
+                                                        error_code& ec) {
+    stream.expires_after(timeout);
+    const std::size_t received = co_await asio::async_read(stream, asio::buffer(buffer),
+                                                           asio::transfer_at_least(peer::frame_header_bytes),
+                                                           asio::redirect_error(asio::use_awaitable, ec));
+    if (ec) {
+        co_return base::fail(base::error_code::connection_broken, ec.message());
+    }
+    const std::string_view bytes(buffer.data(), received);
+    const base::result<std::size_t> size = peer::frame_size(bytes.substr(0, peer::frame_header_bytes));
+    if (!size) {
+        co_return tl::unexpected<base::error>(size.error());
+    }
+    std::string body(bytes.substr(peer::frame_header_bytes));
+    if (body.size() > *size) {
+        co_return base::fail(base::error_code::protocol_violation, "bytes follow the message");
+    }
+    const std::size_t available = body.size();
+    body.resize(*size);
+    if (available < *size) {
+        co_await asio::async_read(stream, asio::buffer(body.data() + available, *size - available),
+                                  asio::redirect_error(asio::use_awaitable, ec));
+    }
+    if (ec) {
+        co_return base::fail(base::error_code::connection_broken, ec.message());
+    }
+    co_return peer::decode_frame(body, secret);
+}
+
 } // namespace
 
 peer_transport::peer_transport(shared_state& shared, control_strand strand)
@@ -173,9 +211,10 @@
     socket.set_option(tcp::no_delay(true), ec);
     const base::address remote = to_address(from.address().to_v4(), from.port());
     const stream_ptr stream = std::make_shared<beast::tcp_stream>(std::move(socket));
+    request_buffer buffer{};
     while (!stopped_) {
         base::result<peer::frame> message =
-            co_await read_frame(*stream, shared_.settings.cluster_secret, server_idle_timeout, ec);
+            co_await read_request(*stream, shared_.settings.cluster_secret, server_idle_timeout, buffer, ec);
         if (!message) {
             if (!ec) {
                 telemetry::log(telemetry::log_event::peer_message_rejected,
