--- a/packages/daemon/src/piece_pool.cpp
+++ b/packages/daemon/src/piece_pool.cpp
@@ -59,17 +59,19 @@
     }
     const std::shared_ptr<const relay_serving_state> serving = relay_.serving.read();
     const auto budget = serving->resend_budgets.find(service);
-    stage_job job{request, std::move(on_done), {}, request.order.pieces, false, false};
-    job.handles.resize(request.order.pieces);
-    stages_.emplace(id, std::move(job));
+    const std::shared_ptr<const std::vector<std::string>> inputs =
+        std::make_shared<const std::vector<std::string>>(std::move(request.order.inputs));
+    request.order.inputs.clear();
     const base::time_point arrival = now();
     std::vector<relay::waiting_piece> waiting;
+    waiting.reserve(request.order.pieces);
+    const relay::piece_id first_piece = last_piece_id_ + 1;
     for (std::size_t piece = 0; piece < request.order.pieces; ++piece) {
         relay::waiting_piece next;
         next.id = ++last_piece_id_;
         next.stage = id;
-        next.order = relay::piece_order{request.order.request, request.order.stage, piece, {},
-                                        request.order.key,     request.order.inputs};
+        next.order = relay::piece_order{
+            request.order.request, request.order.stage, piece, {}, request.order.key, inputs};
         next.preferred_domain = request.preferred_domain;
         next.result_bytes = request.order.result_bytes;
         next.transfer_bytes = std::max(request.order.result_bytes, request.order.input_bytes);
@@ -77,12 +79,15 @@
         next.arrival = arrival;
         next.target_start = request.target_start;
         next.latest_start = request.latest_start;
-        pieces_.emplace(next.id, piece_job{id, piece, 0, 0, true});
+        pieces_.emplace_hint(pieces_.end(), next.id, piece_job{id, piece, 0, 0, true});
         if (budget != serving->resend_budgets.end()) {
             budget->second->count_request(arrival);
         }
         waiting.push_back(std::move(next));
     }
+    stage_job job{std::move(request), std::move(on_done), {}, waiting.size(), first_piece, false, false};
+    job.handles.resize(waiting.size());
+    stages_.emplace(id, std::move(job));
     if (waiting.empty() || !queues_[service].scheduler.add_stage(std::move(waiting), arrival)) {
         fail_stage(id, relay::piece_failure::deadline_exceeded);
     }
@@ -112,7 +117,9 @@
 void piece_pool::remove_stage(std::map<relay::stage_id, stage_job>::iterator stage) {
     const base::service_name service = stage->second.request.service;
     queues_[service].scheduler.cancel_stage(stage->first);
-    std::erase_if(pieces_, [stage](const auto& row) { return row.second.stage == stage->first; });
+    const relay::piece_id first_piece = stage->second.first_piece;
+    const relay::piece_id end_piece = first_piece + stage->second.request.order.pieces;
+    pieces_.erase(pieces_.lower_bound(first_piece), pieces_.lower_bound(end_piece));
     const std::vector<std::string> handles = std::move(stage->second.handles);
     stages_.erase(stage);
     release(service, handles);
@@ -325,6 +332,7 @@
     pause_limited(service, batch.endpoint.id);
     base::time_point latest_start = start;
     std::vector<relay::piece_order> orders;
+    orders.reserve(batch.pieces.size());
     for (const relay::waiting_piece& piece : batch.pieces) {
         orders.push_back(piece.order);
         orders.back().time_left = piece.latest_start - start;
@@ -503,9 +511,9 @@
             queues_[stage->second.request.service].scheduler.cancel_stage(stage->first);
         }
         const stage_handler on_done = std::move(stage->second.on_done);
-        const std::vector<std::string> handles = std::move(stage->second.handles);
+        const stage_result result = std::move(stage->second.handles);
         stages_.erase(stage);
-        on_done(handles);
+        on_done(result);
     }
 }
 
@@ -542,13 +550,13 @@
     boost::system::error_code ec;
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
     flush_scheduled_ = false;
-    const std::map<base::address, std::vector<std::string>> pending = std::move(releases_);
+    std::map<base::address, std::vector<std::string>> pending = std::move(releases_);
     releases_.clear();
-    for (const auto& row : pending) {
+    for (auto& row : pending) {
         asio::co_spawn(
             strand_,
-            [self, holder = row.first, handles = row.second]() {
-                return self->send_release(holder, handles);
+            [self, holder = row.first, handles = std::move(row.second)]() mutable {
+                return self->send_release(holder, std::move(handles));
             },
             asio::detached);
     }
