Count the end of a silent call at an endpoint that has left the shard

Callers would have seen a pool with less capacity for good: an endpoint that left a scheduler during a silent call and came back while it held results was never called again, as the end of the call was looked up among the current endpoints only. The test failed before.

--- a/packages/relay/src/piece_scheduler.cpp
+++ b/packages/relay/src/piece_scheduler.cpp
@@ -165,11 +165,11 @@
 }
 
 void piece_scheduler::set_silent(const base::endpoint_id& endpoint, bool is_silent) {
-    const auto it = endpoints_.find(endpoint);
-    if (it == endpoints_.end()) {
+    endpoint_state* const state = find_endpoint(endpoint);
+    if (state == nullptr) {
         return;
     }
-    std::size_t& calls = it->second.silent_calls;
+    std::size_t& calls = state->silent_calls;
     calls = is_silent ? calls + 1 : calls - std::min<std::size_t>(calls, 1);
 }
 
--- a/packages/relay/test/piece_scheduler_test.cpp
+++ b/packages/relay/test/piece_scheduler_test.cpp
@@ -392,4 +392,22 @@
     BOOST_TEST(scheduler.next_batch(at_ms(102)).has_value());
 }
 
+// Guards against an endpoint that gets no call for good, because its silent call ended while the endpoint was
+// with another scheduler.
+BOOST_FIXTURE_TEST_CASE(an_endpoint_that_comes_back_after_a_silent_call_gets_calls, scheduler_fixture) {
+    const relay::pool_endpoint first = endpoint("p1", "a", 1);
+    scheduler.configure(limits, {first});
+    BOOST_REQUIRE(add(stage(4, 500)));
+    const std::optional<relay::piece_batch> call = scheduler.next_batch(at_ms(0));
+    BOOST_REQUIRE(call.has_value());
+    scheduler.set_silent(first.id, true);
+    scheduler.configure(limits, {});
+    scheduler.set_silent(first.id, false);
+    scheduler.end_call(first.id, relay::attempt_result::answered,
+                       {{"handle", call->pieces.front().result_bytes}}, at_ms(100));
+    scheduler.configure(limits, {first});
+    BOOST_REQUIRE(add(stage(4, 500)));
+    BOOST_TEST(scheduler.next_batch(at_ms(101)).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
