Give all waiting stages back before a stopping scheduler sends further calls

The failure of the first stage that a stopping scheduler gave back dispatched the next ones, and with no shard in the plan any more to all endpoints of the pool. These stages then failed as not sent and were made again elsewhere, outside the budget of repeats. All of them leave the queue first now, and a stopping scheduler keeps its last shard.

With it: a stop waits for the releases in flight, a silent call is closed at its time and not up to one call's time later, and a stage that expires looks at its own pieces only.

--- a/packages/daemon/src/internal/piece_pool.hpp
+++ b/packages/daemon/src/internal/piece_pool.hpp
@@ -58,7 +58,7 @@
     void hand_back_waiting();
 
     /// Whether stages or releases are in progress.
-    bool has_work() const { return !stages_.empty() || flush_scheduled_; }
+    bool has_work() const { return !stages_.empty() || flush_scheduled_ || open_releases_ > 0; }
 
 private:
     struct stage_job {
@@ -170,6 +170,10 @@
     std::map<base::service_name, service_queue> queues_;
     std::map<base::address, std::vector<std::string>> releases_;
     bool flush_scheduled_ = false;
+    /// Number of calls in progress that release results.
+    std::size_t open_releases_ = 0;
+    /// Whether the waiting stages were given back, as the daemon is stopping.
+    bool handed_back_ = false;
 };
 
 } // namespace rattanbay::daemon::internal
--- a/packages/daemon/src/piece_pool.cpp
+++ b/packages/daemon/src/piece_pool.cpp
@@ -103,12 +103,17 @@
 }
 
 void piece_pool::hand_back_waiting() {
+    handed_back_ = true;
     std::vector<relay::stage_id> waiting;
     for (const auto& row : stages_) {
         if (!row.second.started) {
             waiting.push_back(row.first);
         }
     }
+    // The failure of a stage frees space and sends further calls, which must not contain the other stages.
+    for (const relay::stage_id id : waiting) {
+        queues_[stages_.at(id).request.service].scheduler.cancel_stage(id);
+    }
     for (const relay::stage_id id : waiting) {
         fail_stage(id, relay::piece_failure::scheduler_stopping);
     }
@@ -157,7 +162,9 @@
     }
     service_queue& queue = queues_[service];
     const std::uint64_t wanted = planner_.generation();
-    if (queue.configured_for != wanted) {
+    // A draining daemon is in no plan. It ends what it has at the endpoints of its last shard.
+    const bool keeps_shard = handed_back_ && queue.configured_for != 0;
+    if (queue.configured_for != wanted && !keeps_shard) {
         queue.scheduler.configure(*settings->pieces, own_endpoints(service));
         queue.call_timeout = call_timeout(*settings->pieces);
         queue.configured_for = wanted;
@@ -195,16 +202,18 @@
     if (stage == stages_.end()) {
         return;
     }
-    bool has_only_waiting = !stage->second.repeated;
-    for (auto it = pieces_.begin(); it != pieces_.end() && !has_only_waiting; ++it) {
-        has_only_waiting = it->second.stage == id && it->second.waiting && it->second.calls == 0;
-    }
-    if (has_only_waiting) {
+    const relay::piece_id first_piece = stage->second.first_piece;
+    const auto begin = pieces_.lower_bound(first_piece);
+    const auto end = pieces_.lower_bound(first_piece + stage->second.request.order.pieces);
+    const bool is_in_time = stage->second.repeated && std::none_of(begin, end, [](const auto& row) {
+                                return row.second.waiting && row.second.calls == 0;
+                            });
+    if (!is_in_time) {
         fail_stage(id, relay::piece_failure::deadline_exceeded);
         return;
     }
-    for (auto& row : pieces_) {
-        row.second.waiting = row.second.waiting && row.second.stage != id;
+    for (auto it = begin; it != end; ++it) {
+        it->second.waiting = false;
     }
 }
 
@@ -288,7 +297,9 @@
                     {"pieces", std::to_string(call->batch.pieces.size())},
                     {"replaced_pieces", std::to_string(replaced)},
                     {"took_ms", std::to_string(base::to_milliseconds(now() - call->start))}});
-    watch_silence(service, call, queue.call_timeout);
+    const base::duration to_close = call->start + queue.call_timeout + max_silence + unread_data_time - now();
+    const bool closes_first = to_close > base::duration::zero() && to_close < queue.call_timeout;
+    watch_silence(service, call, closes_first ? to_close : queue.call_timeout);
     if (replaced > 0) {
         dispatch(service);
     }
@@ -552,6 +563,7 @@
     flush_scheduled_ = false;
     std::map<base::address, std::vector<std::string>> pending = std::move(releases_);
     releases_.clear();
+    open_releases_ += pending.size();
     for (auto& row : pending) {
         asio::co_spawn(
             strand_,
@@ -568,6 +580,7 @@
     http::request message = relay_.protocol->write_release_request(handles);
     const base::result<http::response> response =
         co_await http::exchange(strand_, relay_.pool, holder, std::move(message), limits);
+    --open_releases_;
     if (!response) {
         // The holder frees the results itself when their lifetime ends.
         telemetry::log(telemetry::log_event::piece_call_failed, {{"endpoint_address", holder.text()},
