--- a/packages/membership/include/rattanbay/membership.hpp
+++ b/packages/membership/include/rattanbay/membership.hpp
@@ -8,7 +8,7 @@
 /// - entry_selection.hpp: selection of entry addresses for a caller
 /// - pool_plan.hpp: division of a worker pool among the daemons that schedule it
 /// - pool_shard.hpp: endpoints of a worker pool that one daemon schedules
-/// - scheduler_selection.hpp: selection of the daemons that schedule a worker pool
+/// - scheduler_selection.hpp: unweighted selection of daemons for small roles
 
 #include <rattanbay/membership/detector.hpp>
 #include <rattanbay/membership/eligibility.hpp>
--- a/packages/membership/include/rattanbay/membership/scheduler_selection.hpp
+++ b/packages/membership/include/rattanbay/membership/scheduler_selection.hpp
@@ -8,9 +8,9 @@
 
 namespace rattanbay::membership {
 
-/// Selects at most `max_count` daemons for scheduling the worker pool of a service. The first one schedules
-/// the pool, the others are its fallbacks in order. Daemons with the same set of members get the same order.
-/// A daemon restarted at the same address keeps its position.
+/// Selects at most `max_count` daemons for a role whose load does not grow with the fleet, regardless of
+/// their processors. `service` names the role. Daemons with the same set of members get the same order. A
+/// daemon restarted at the same address keeps its position.
 std::vector<peer::member_record> select_schedulers(const std::vector<peer::member_record>& members,
                                                    const base::service_name& service, std::size_t max_count);
 
--- a/packages/membership/src/pool_plan.cpp
+++ b/packages/membership/src/pool_plan.cpp
@@ -147,9 +147,12 @@
             fallbacks.push_back(shards[(n + k) % shards.size()].scheduler);
         }
         for (const ranked_member& row : ranking) {
+            if (fallbacks.size() == max_scheduler_fallbacks) {
+                break;
+            }
             const bool is_scheduler = std::ranges::any_of(
                 shards, [&row](const pool_shard& shard) { return shard.scheduler.id == row.member->id; });
-            if (!is_scheduler && fallbacks.size() < max_scheduler_fallbacks) {
+            if (!is_scheduler) {
                 fallbacks.push_back(*row.member);
             }
         }
