--- a/packages/daemon/test/peer_transport_test.cpp
+++ b/packages/daemon/test/peer_transport_test.cpp
@@ -155,8 +155,7 @@
     asio::io_context server_context;
     asio::ip::tcp::acceptor acceptor(server_context, {asio::ip::make_address_v4("127.0.0.1"), 0});
     const base::address to{{127, 0, 0, 1}, acceptor.local_endpoint().port()};
-    std::thread server(
-        [&acceptor, &context]() { answer_while_held(acceptor, context, exchanges); });
+    std::thread server([&acceptor, &context]() { answer_while_held(acceptor, context, exchanges); });
     internal::shared_state shared(context, settings(), base::incarnation(),
                                   rattanbay::daemon::platform_protocols::emulated());
     const internal::control_strand strand = asio::make_strand(context);
