Bound what is held of the responses of endpoints, the store and callers

A faulty endpoint could send without end: an event, a chunk extension or a trailer was kept without a bound, a body up to 64 MB (16 MB in calls to worker pools), each of them on VMs of 160 MB; and an event was searched from its start at each part.

http::response_memory bounds one response (a sixteenth of the VM's memory) and all together (an eighth), from the first byte until it was passed on, so that slow clients count. Small responses are held also when it is used up. Headers, chunk extensions and trailers are bounded by the connection's buffer, for clients too. A body has one time limit for all its parts. An oversized response is logged (5015), counted, and counts as a broken attempt.

--- a/packages/caller/include/rattanbay/caller/event_stream.hpp
+++ b/packages/caller/include/rattanbay/caller/event_stream.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -31,6 +32,13 @@
     /// Whether an incomplete event is buffered.
     bool has_partial_event() const { return !partial_line_.empty() || partial_event_.has_value(); }
 
+    /// Bytes of the incomplete event.
+    std::size_t pending_bytes() const {
+        const std::size_t event_bytes =
+            partial_event_ ? partial_event_->type.size() + partial_event_->data.size() : 0;
+        return partial_line_.size() + event_bytes;
+    }
+
 private:
     void parse_line(std::string_view line, std::vector<server_sent_event>& events);
 
--- a/packages/config/include/rattanbay/config/settings.hpp
+++ b/packages/config/include/rattanbay/config/settings.hpp
@@ -67,6 +67,8 @@
     /// Threads that handle requests; control tasks run on one additional thread.
     std::size_t threads = 2;
     std::size_t max_body_bytes = 4 * 1024 * 1024;
+    /// Memory that the process may use.
+    std::size_t memory_bytes = 256 * 1024 * 1024;
     /// Maximum time to receive a whole request.
     base::duration request_read_timeout = std::chrono::seconds(10);
     /// Time for which callers may cache the list of entry addresses.
@@ -83,6 +85,13 @@
     /// File the settings were read from; empty if they come from another source.
     std::string source_path;
 
+    /// Memory for the responses that the daemon holds at any time: an eighth of its memory, as the strings
+    /// that hold them may have twice the size while they grow.
+    std::size_t max_held_response_bytes() const;
+
+    /// Maximum size of one response of an endpoint.
+    std::size_t max_response_bytes() const;
+
     /// Parses and validates the text of a settings file (JSON with comments).
     static validation_result<settings> parse(std::string_view text);
 
--- a/packages/config/src/settings.cpp
+++ b/packages/config/src/settings.cpp
@@ -21,6 +21,12 @@
 constexpr std::uint64_t max_threads = 256;
 constexpr std::uint64_t min_body_limit = 1024;
 constexpr std::uint64_t max_body_limit = 64 * 1024 * 1024;
+constexpr std::uint64_t min_memory_mb = 32;
+constexpr std::uint64_t max_memory_mb = 1024 * 1024;
+constexpr std::size_t bytes_per_mb = 1024 * 1024;
+/// Parts of the memory that all held responses and one of them may take.
+constexpr std::size_t held_responses_divisor = 8;
+constexpr std::size_t one_response_divisor = 16;
 constexpr std::uint64_t max_duration_ms = 3'600'000;
 constexpr std::uint64_t max_read_timeout_ms = 600'000;
 constexpr std::array<std::string_view, 4> log_levels{"debug", "info", "warning", "error"};
@@ -97,6 +103,9 @@
     out.threads = reader.integer("threads", 1, max_threads, presence::optional).value_or(out.threads);
     out.max_body_bytes = reader.integer("max_body_bytes", min_body_limit, max_body_limit, presence::optional)
                              .value_or(out.max_body_bytes);
+    const std::optional<std::uint64_t> memory_mb =
+        reader.integer("memory_mb", min_memory_mb, max_memory_mb, presence::optional);
+    out.memory_bytes = memory_mb ? *memory_mb * bytes_per_mb : out.memory_bytes;
     read_duration(reader, "request_arrival_ms", 1, max_read_timeout_ms, out.request_read_timeout);
     read_duration(reader, "entries_max_age_ms", 1, max_duration_ms, out.entries_max_age);
     read_duration(reader, "drain_limit_ms", 0, max_duration_ms, out.drain_timeout);
@@ -162,6 +171,14 @@
     return static_cast<std::uint32_t>(std::max(1.0, std::round(core_share * speed * percent)));
 }
 
+std::size_t settings::max_held_response_bytes() const {
+    return memory_bytes / held_responses_divisor;
+}
+
+std::size_t settings::max_response_bytes() const {
+    return memory_bytes / one_response_divisor;
+}
+
 validation_result<settings> settings::parse(std::string_view text) {
     internal::parsed_json parsed = internal::parse_json_with_comments(text);
     std::vector<finding>& findings = parsed.findings;
--- a/packages/ctl/include/rattanbay/ctl/command_io.hpp
+++ b/packages/ctl/include/rattanbay/ctl/command_io.hpp
@@ -22,7 +22,7 @@
     /// Sends one request on a new connection, so that it is never sent twice. Errors are those of
     /// `http::client_connection`; after `connection_refused` nothing was sent.
     virtual base::result<http::response> exchange(const base::address& address, const http::request& message,
-                                                  const http::exchange_timeouts& limits) = 0;
+                                                  const http::exchange_limits& limits) = 0;
 
     /// Returns the monotonic time.
     virtual base::time_point now() = 0;
--- a/packages/ctl/src/daemon_client.cpp
+++ b/packages/ctl/src/daemon_client.cpp
@@ -135,7 +135,7 @@
     if (!message.body.empty()) {
         message.fields.add("Content-Type", "application/json");
     }
-    http::exchange_timeouts limits;
+    http::exchange_limits limits;
     limits.response_header = head_timeout;
     const base::result<http::response> response = io_.exchange(address_, message, limits);
     if (!response) {
--- a/packages/ctl/src/network_io.cpp
+++ b/packages/ctl/src/network_io.cpp
@@ -28,7 +28,7 @@
     }
 
     base::result<http::response> exchange(const base::address& address, const http::request& message,
-                                          const http::exchange_timeouts& limits) override {
+                                          const http::exchange_limits& limits) override {
         boost::asio::io_context context;
         // With an empty pool the request is sent once on a new connection; on a pooled connection it
         // might be sent again.
--- a/packages/ctl/src/platform_client.cpp
+++ b/packages/ctl/src/platform_client.cpp
@@ -14,7 +14,7 @@
 object_api::answer platform_client::perform(const object_api::call& call) {
     const base::address& address = addresses_[next_ % addresses_.size()];
     const base::result<http::response> response =
-        io_.exchange(address, object_api::to_http(call).message, http::exchange_timeouts{});
+        io_.exchange(address, object_api::to_http(call).message, http::exchange_limits{});
     object_api::answer answer = object_api::to_answer(call, response);
     if (std::holds_alternative<object_api::failed>(answer)) {
         ++next_;
--- a/packages/ctl/test/command_fixture.hpp
+++ b/packages/ctl/test/command_fixture.hpp
@@ -47,7 +47,7 @@
     }
 
     answer exchange(const address& to, const request& message,
-                    const rattanbay::http::exchange_timeouts&) override {
+                    const rattanbay::http::exchange_limits&) override {
         time += std::chrono::milliseconds(1);
         requests.push_back(to.text() + " " + message.method + " " + message.target);
         const auto it = servers.find(to.text());
--- a/packages/daemon/include/rattanbay/daemon/platform_client.hpp
+++ b/packages/daemon/include/rattanbay/daemon/platform_client.hpp
@@ -25,8 +25,9 @@
 /// next address current. Writes are sent once, reads at most twice.
 class platform_client {
 public:
-    /// Called after each call with the call's kind and whether its answer was usable.
-    using call_observer = std::function<void(std::string_view, bool)>;
+    /// Called after each call with the call's kind, whether its answer was usable, and the error if there was
+    /// no response, else null.
+    using call_observer = std::function<void(std::string_view, bool, const base::error*)>;
 
     /// An answer and the era of the store that gave it; 0 if there was no response or it named none.
     struct dated_answer {
--- a/packages/daemon/src/control.cpp
+++ b/packages/daemon/src/control.cpp
@@ -1,6 +1,7 @@
 #include "internal/control.hpp"
 
 #include "internal/clock.hpp"
+#include "internal/oversized_response.hpp"
 
 #include <rattanbay/base/hash.hpp>
 #include <rattanbay/base/json.hpp>
@@ -33,8 +34,12 @@
 }
 
 platform_client::call_observer platform_call_observer(shared_state& shared) {
-    return
-        [&shared](std::string_view kind, bool usable) { shared.metrics.record_platform_call(kind, usable); };
+    return [&shared](std::string_view kind, bool usable, const base::error* failure) {
+        shared.metrics.record_platform_call(kind, usable);
+        if (failure != nullptr) {
+            record_oversized_response(shared.metrics, "platform", kind, "", *failure);
+        }
+    };
 }
 
 /// Parses an endpoint's load report. Returns nothing if it is malformed.
@@ -354,7 +359,8 @@
 
 asio::awaitable<void> control_plane::poll_load(routing::endpoint target) {
     const http::request message{"GET", "/v1/load", {}, ""};
-    const http::exchange_timeouts limits;
+    http::exchange_limits limits;
+    limits.memory = &shared_.responses;
     const base::result<http::response> response =
         co_await http::exchange(strand_, shared_.endpoint_pool, target.address, message, limits);
     if (!response) {
--- a/packages/daemon/src/internal/relay_attempt.hpp
+++ b/packages/daemon/src/internal/relay_attempt.hpp
@@ -3,6 +3,7 @@
 #include "relay_state.hpp"
 
 #include <rattanbay/http/client_connection.hpp>
+#include <rattanbay/http/response_memory.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -52,6 +53,9 @@
     /// Whether the stream ended inside an event.
     bool has_partial_event() const { return splitter_.has_partial_event(); }
 
+    /// Takes over the memory of the body, which was moved out of the attempt.
+    http::response_memory::share take_memory() { return std::move(held_); }
+
     /// Closes the connection; an operation in progress fails.
     void close();
 
@@ -72,6 +76,8 @@
     std::optional<base::duration> first_byte;
     /// Reason of a failure, for the log.
     std::string detail;
+    /// Set if the response was given up because of its size.
+    std::optional<base::error> oversized;
     bool reused = false;
     /// Whether the request was handed to the connection, so that the endpoint may run it.
     bool sent = false;
@@ -81,10 +87,15 @@
     bool cancelled = false;
 
 private:
+    /// Closes the connection, as the response is too large.
+    tl::unexpected<base::error> give_up(const base::error& reason);
+
     relay_state& relay_;
     const base::request_id request_;
     std::unique_ptr<http::client_connection> connection_;
     relay::event_splitter splitter_;
+    /// Memory of what was read and not forwarded, and of the events that are being forwarded.
+    http::response_memory::share held_;
 };
 
 } // namespace rattanbay::daemon::internal
--- a/packages/daemon/src/internal/relay_run.hpp
+++ b/packages/daemon/src/internal/relay_run.hpp
@@ -146,6 +146,7 @@
     /// Identifier of the last event that was forwarded.
     std::optional<std::string> last_event_id_;
     bool stream_started_ = false;
+    std::optional<http::response_memory::share> failure_memory_;
     bool client_disconnected_ = false;
     bool ended_early_ = false;
     /// Set while the request is handled.
--- a/packages/daemon/src/internal/relay_state.hpp
+++ b/packages/daemon/src/internal/relay_state.hpp
@@ -5,6 +5,7 @@
 #include <rattanbay/base/snapshot.hpp>
 #include <rattanbay/config.hpp>
 #include <rattanbay/http/connection_pool.hpp>
+#include <rattanbay/http/response_memory.hpp>
 #include <rattanbay/relay.hpp>
 
 #include <atomic>
@@ -29,7 +30,8 @@
 /// State of the relay that is shared by all request threads.
 struct relay_state {
     relay_state(config::relay_settings relay_settings, const base::failure_domain& local_domain,
-                std::shared_ptr<const relay::protocol> client_protocol, std::uint64_t seed);
+                std::shared_ptr<const relay::protocol> client_protocol,
+                http::response_memory& response_memory, std::uint64_t seed);
 
     /// Publishes the serving state of a document with a relay section; called on the control strand.
     void adopt(const std::shared_ptr<const config::environment_document>& document);
@@ -45,6 +47,8 @@
     base::snapshot<relay_serving_state> serving;
     relay::balancer balancer;
     http::connection_pool pool;
+    /// Memory of the responses of endpoints.
+    http::response_memory& responses;
     relay::part_quarantine quarantine;
     /// Called with the client limits of each adopted document; set before the first one is adopted.
     std::function<void(const config::client_limits&)> on_client_limits;
--- a/packages/daemon/src/internal/shared_state.hpp
+++ b/packages/daemon/src/internal/shared_state.hpp
@@ -7,6 +7,7 @@
 #include <rattanbay/config.hpp>
 #include <rattanbay/daemon/daemon.hpp>
 #include <rattanbay/http/connection_pool.hpp>
+#include <rattanbay/http/response_memory.hpp>
 #include <rattanbay/limits.hpp>
 #include <rattanbay/peer/member_record.hpp>
 #include <rattanbay/routing.hpp>
@@ -68,6 +69,8 @@
     routing::router router;
     limits::account_limits account_limits;
     http::connection_pool endpoint_pool;
+    /// Memory of the responses of endpoints.
+    http::response_memory responses;
     telemetry::timeline timeline;
     telemetry::metrics metrics;
     std::atomic<std::uint64_t> seed_counter;
--- a/packages/daemon/src/piece_pool.cpp
+++ b/packages/daemon/src/piece_pool.cpp
@@ -1,6 +1,7 @@
 #include "internal/piece_pool.hpp"
 
 #include "internal/clock.hpp"
+#include "internal/oversized_response.hpp"
 
 #include <rattanbay/telemetry.hpp>
 
@@ -353,6 +354,7 @@
     http::exchange_timeouts limits;
     limits.response_header = latest_start - start + usual_time + max_silence;
     limits.body_read = limits.response_header;
+    limits.memory = &relay_.responses;
     http::request message = relay_.protocol->write_piece_request(orders, batch.endpoint.id);
     // A call that was silent may still run, so it is not sent again on another connection.
     const http::send_condition is_available = [this, call]() {
@@ -406,6 +408,8 @@
                                                 std::string& detail, std::vector<relay::held_result>& held) {
     if (!response) {
         detail = response.error().message;
+        record_oversized_response(metrics_, "endpoint", batch.endpoint.id.text(),
+                                  batch.pieces.front().order.request.text(), response.error());
         const bool sent = response.error().code != base::error_code::connection_refused &&
                           response.error().code != base::error_code::unavailable;
         return sent ? relay::attempt_result::broken : relay::attempt_result::not_sent;
@@ -590,3 +594,5 @@
 }
 
 } // namespace rattanbay::daemon::internal
+    limits.memory = &relay_.responses;
+        record_oversized_response(metrics_, "endpoint", holder.text(), "", response.error());
--- a/packages/daemon/src/platform_client.cpp
+++ b/packages/daemon/src/platform_client.cpp
@@ -5,6 +5,15 @@
 
 namespace rattanbay::daemon {
 
+namespace {
+
+/// Time for the body of an answer; the largest ones cross the link of a small VM in about a second.
+constexpr std::chrono::seconds body_timeout{5};
+/// Objects have a megabyte at most, lists little more.
+constexpr std::size_t max_answer_bytes = 8 * 1024 * 1024;
+
+} // namespace
+
 platform_client::platform_client(std::vector<base::address> addresses,
                                  std::shared_ptr<const object_api::object_protocol> protocol,
                                  call_observer observer)
@@ -24,8 +33,10 @@
                                                                            object_api::call request,
                                                                            base::duration timeout) {
     object_api::http_call http_call = protocol_->to_http(request);
-    http::exchange_timeouts limits;
+    http::exchange_limits limits;
     limits.response_header = http_call.wait + timeout;
+    limits.body_read = body_timeout;
+    limits.max_body_bytes = max_answer_bytes;
     const std::size_t index = current_address_.load();
     const base::address address = addresses_[index % addresses_.size()];
     base::result<http::response> answer = base::fail(base::error_code::unavailable, "not sent");
@@ -40,7 +51,7 @@
         std::size_t expected = index;
         current_address_.compare_exchange_strong(expected, index + 1);
     }
-    observer_(http_call.kind, usable);
+    observer_(http_call.kind, usable, answer ? nullptr : &answer.error());
     co_return dated_answer{std::move(result), answer ? protocol_->era(*answer) : 0};
 }
 
--- a/packages/daemon/src/relay_attempt.cpp
+++ b/packages/daemon/src/relay_attempt.cpp
@@ -16,7 +16,6 @@
 constexpr std::chrono::milliseconds connect_timeout{300};
 /// Time to read the body of a refusal, without which its connection cannot be used again.
 constexpr std::chrono::milliseconds max_refusal_body_time{50};
-constexpr std::size_t max_response_bytes = 64 * 1024 * 1024;
 constexpr int min_redirection_status = 300;
 
 } // namespace
@@ -27,7 +26,8 @@
     , number(position)
     , start(start_time)
     , relay_(relay)
-    , request_(request) {}
+    , request_(request)
+    , held_(relay.responses) {}
 
 asio::awaitable<bool> relay_attempt::connect(asio::any_io_executor executor, base::duration max_idle,
                                              base::duration limit) {
@@ -56,6 +56,9 @@
     const base::result<http::response_header> received = co_await connection_->read_header(time_left);
     if (!received) {
         detail = received.error().message;
+        if (received.error().code == base::error_code::exhausted) {
+            oversized = received.error();
+        }
         co_return received.error().code == base::error_code::timed_out ? relay::attempt_result::timed_out
                                                                        : relay::attempt_result::broken;
     }
@@ -67,9 +70,9 @@
     if (relay::is_refusal_of(header, request_, !reused)) {
         detail = "status " + std::to_string(header.status);
         const base::duration limit = std::min<base::duration>(max_refusal_body_time, time_left);
-        const base::result<std::string> rest =
-            co_await http::read_body(*connection_, limit, max_response_bytes);
+        const base::result<std::string> rest = co_await http::read_body(*connection_, limit, held_);
         detail += rest ? "" : ", " + rest.error().message;
+        held_.clear();
         co_return relay::attempt_result::declined;
     }
     if (!relay::is_response_to(header, request_)) {
@@ -90,9 +93,14 @@
 asio::awaitable<base::result<void>> relay_attempt::read_events(base::duration time_left) {
     const base::result<std::string> chunk = co_await connection_->read_some(time_left);
     if (!chunk) {
-        co_return tl::unexpected<base::error>(chunk.error());
+        co_return give_up(chunk.error());
     }
     stream_ended = chunk->empty();
+    const base::result<void> fits =
+        held_.resize(splitter_.pending_bytes() + events.bytes.size() + chunk->size());
+    if (!fits) {
+        co_return give_up(fits.error());
+    }
     splitter_.append(*chunk);
     while (std::optional<relay::stream_event> next = splitter_.next()) {
         events.bytes += next->bytes;
@@ -103,27 +111,24 @@
 
 asio::awaitable<base::result<void>> relay_attempt::read_body(base::duration time_left) {
     if (!body) {
-        // The time is that of the whole body, however many parts it arrives in.
-        const base::time_point end = now() + time_left;
-        std::string received;
-        bool complete = false;
-        while (!complete) {
-            const base::duration left = std::max(base::duration::zero(), end - now());
-            const base::result<std::string> part = co_await connection_->read_some(left);
-            if (!part) {
-                co_return tl::unexpected<base::error>(part.error());
-            }
-            received += *part;
-            if (received.size() > max_response_bytes) {
-                co_return base::fail(base::error_code::exhausted, "the body of the answer is too large");
-            }
-            complete = part->empty();
+        base::result<std::string> received = co_await http::read_body(*connection_, time_left, held_);
+        if (!received) {
+            co_return give_up(received.error());
         }
-        body = std::move(received);
+        body = std::move(*received);
     }
     co_return base::result<void>();
 }
 
+tl::unexpected<base::error> relay_attempt::give_up(const base::error& reason) {
+    if (reason.code == base::error_code::exhausted) {
+        oversized = reason;
+        held_.clear();
+        close();
+    }
+    return tl::unexpected<base::error>(reason);
+}
+
 void relay_attempt::close() {
     if (connection_) {
         connection_->close();
--- a/packages/daemon/src/relay_result.cpp
+++ b/packages/daemon/src/relay_result.cpp
@@ -1,4 +1,5 @@
 #include "internal/clock.hpp"
+#include "internal/oversized_response.hpp"
 #include "internal/relay_run.hpp"
 
 #include <boost/asio/use_awaitable.hpp>
@@ -30,6 +31,10 @@
     if (result == relay::attempt_result::broken && !current.first_byte && !shared_parts_.empty()) {
         quarantine_->check_endpoint(current.endpoint, input_.request.id, shared_parts_);
     }
+    if (current.oversized) {
+        record_oversized_response(shared_.metrics, "endpoint", current.endpoint.id.text(),
+                                  input_.request.id.text(), *current.oversized);
+    }
     if (result != relay::attempt_result::answered) {
         telemetry::log(telemetry::log_event::relay_attempt_failed,
                        {{"request", input_.request.id.text()},
--- a/packages/daemon/src/relay_run.cpp
+++ b/packages/daemon/src/relay_run.cpp
@@ -423,6 +423,7 @@
 }
 
 asio::awaitable<bool> relay_run::forward_events(relay_attempt& current, http::responder& out) {
+        failure_memory_ = current.take_memory();
     event_batch events = std::exchange(current.events, {});
     base::result<void> sent;
     if (!stream_started_) {
--- a/packages/daemon/src/relay_state.cpp
+++ b/packages/daemon/src/relay_state.cpp
@@ -21,11 +21,13 @@
 }
 
 relay_state::relay_state(config::relay_settings relay_settings, const base::failure_domain& local_domain,
-                         std::shared_ptr<const relay::protocol> client_protocol, std::uint64_t seed)
+                         std::shared_ptr<const relay::protocol> client_protocol,
+                         http::response_memory& response_memory, std::uint64_t seed)
     : settings(relay_settings)
     , protocol(std::move(client_protocol))
     , serving(std::make_shared<relay_serving_state>())
-    , balancer(local_domain, seed) {}
+    , balancer(local_domain, seed)
+    , responses(response_memory) {}
 
 void relay_state::adopt(const std::shared_ptr<const config::environment_document>& document) {
     const std::shared_ptr<const relay_serving_state> previous = serving.read();
--- a/packages/daemon/src/run_driver.cpp
+++ b/packages/daemon/src/run_driver.cpp
@@ -1,6 +1,7 @@
 #include "internal/run_driver.hpp"
 
 #include "internal/clock.hpp"
+#include "internal/oversized_response.hpp"
 
 #include <rattanbay/base/hash.hpp>
 #include <rattanbay/base/json.hpp>
@@ -20,9 +21,10 @@
 
 using json = nlohmann::json;
 
-constexpr std::size_t max_response_bytes = 16 * 1024 * 1024;
-/// Maximum time between two reads of a response body. Engines send a comment line every 250 ms.
-constexpr std::chrono::seconds body_read_timeout{1};
+/// Maximum time between two reads of a stream. Engines send a comment line every 250 ms.
+constexpr std::chrono::seconds stream_read_timeout{1};
+/// Time for a whole response body that is not a stream.
+constexpr std::chrono::seconds body_timeout{5};
 constexpr std::chrono::milliseconds connect_timeout{300};
 constexpr std::chrono::seconds write_timeout{2};
 constexpr int status_ok = 200;
@@ -207,7 +209,8 @@
         asio::co_spawn(
             executor_,
             [&shared, executor, address, message]() -> asio::awaitable<void> {
-                const http::exchange_timeouts limits;
+                http::exchange_limits limits;
+                limits.memory = &shared.responses;
                 co_await http::exchange(executor, shared.endpoint_pool, address, message, limits);
             },
             asio::detached);
@@ -299,9 +302,10 @@
 asio::awaitable<base::result<void>> run_driver::read_stream(active_attempt_ptr attempt,
                                                             http::client_connection& connection) {
     caller::event_stream_parser reader;
+    http::response_memory::share held(shared_.responses);
     bool ended = false;
     while (true) {
-        base::result<std::string> data = co_await connection.read_some(body_read_timeout);
+        base::result<std::string> data = co_await connection.read_some(stream_read_timeout);
         if (!data) {
             co_return tl::unexpected<base::error>(data.error());
         }
@@ -309,6 +313,10 @@
         if (data->empty()) {
             break;
         }
+        const base::result<void> fits = held.resize(reader.pending_bytes() + data->size());
+        if (!fits) {
+            co_return tl::unexpected<base::error>(fits.error());
+        }
         for (const caller::server_sent_event& next : reader.feed(*data)) {
             if (next.data == caller::end_of_stream) {
                 ended = true;
@@ -333,8 +341,8 @@
         }
         co_return std::string();
     }
-    base::result<std::string> body =
-        co_await http::read_body(connection, body_read_timeout, max_response_bytes);
+    http::response_memory::share held(shared_.responses);
+    base::result<std::string> body = co_await http::read_body(connection, body_timeout, held);
     if (body) {
         attempt->bytes += body->size();
     }
@@ -383,6 +391,8 @@
             release_connection(*attempt, std::move(*opened));
         } else {
             result = "broken";
+            record_oversized_response(shared_.metrics, "endpoint", attempt->request.endpoint.text(),
+                                      input_.caller_request_id.text(), body.error());
             final_event = pipeline::attempt_failed{id, body.error()};
         }
     }
--- a/packages/daemon/src/shared_state.cpp
+++ b/packages/daemon/src/shared_state.cpp
@@ -27,12 +27,13 @@
     , members(std::make_shared<member_view>())
     , vms(std::make_shared<object_api::vm_list>())
     , router(settings.failure_domain)
+    , responses(settings.max_held_response_bytes(), settings.max_response_bytes())
     , timeline(timeline_capacity)
     , seed_counter(random_seed()) {
     if (settings.relay) {
         assert(protocols.relay);
         relay = std::make_unique<relay_state>(*settings.relay, settings.failure_domain, protocols.relay,
-                                              next_seed());
+                                              responses, next_seed());
     }
 }
 
--- a/packages/daemon/test/state_synchronizer_test.cpp
+++ b/packages/daemon/test/state_synchronizer_test.cpp
@@ -46,7 +46,7 @@
         : strand_(asio::make_strand(context))
         , shared_(context, settings(), base::incarnation(), daemon_ns::platform_protocols::emulated())
         , platform_(shared_.settings.platform_addresses, shared_.protocols.objects,
-                    [](std::string_view, bool) {})
+                    [](std::string_view, bool, const base::error*) {})
         , transport_(std::make_shared<internal::peer_transport>(shared_, strand_)) {
         shared_.seed_counter.store(seed);
         const std::shared_ptr<internal::member_view> view = std::make_shared<internal::member_view>();
@@ -189,7 +189,7 @@
 
     void write_object(const object_api::object_key& key) {
         daemon_ns::platform_client client({loopback(2379)}, std::make_shared<object_api::object_protocol>(),
-                                          [](std::string_view, bool) {});
+                                          [](std::string_view, bool, const base::error*) {});
         asio::co_spawn(context,
                        client.call(context.get_executor(), object_api::write_object{key, std::nullopt, "{}"}),
                        asio::use_future)
--- a/packages/daemon/test/test_cluster.hpp
+++ b/packages/daemon/test/test_cluster.hpp
@@ -106,7 +106,7 @@
     /// Sends a request to an address on a new connection and returns the response.
     rattanbay::base::result<rattanbay::http::response> exchange(const rattanbay::base::address& to,
                                                                 rattanbay::http::request message) {
-        rattanbay::http::exchange_timeouts limits;
+        rattanbay::http::exchange_limits limits;
         limits.response_header = std::chrono::seconds(10);
         return boost::asio::co_spawn(
                    context_,
@@ -288,7 +288,7 @@
         platform = rattanbay::emulator::platform_service::start(context_, options).value();
         platform_client_.emplace(std::vector<rattanbay::base::address>{options.address},
                                  std::make_shared<rattanbay::object_api::object_protocol>(),
-                                 [](std::string_view, bool) {});
+                                 [](std::string_view, bool, const rattanbay::base::error*) {});
     }
 
     void start_endpoints() {
--- a/packages/emulator/src/internal/load_run.cpp
+++ b/packages/emulator/src/internal/load_run.cpp
@@ -123,7 +123,7 @@
 }
 
 asio::awaitable<bool> load_run::try_fetch_entries(caller& sender) {
-    http::exchange_timeouts limits;
+    http::exchange_limits limits;
     limits.response_header = std::chrono::seconds(1);
     const base::address target = sender.entries.next_refresh_target(now());
     http::request message;
--- a/packages/emulator/test/fixture.hpp
+++ b/packages/emulator/test/fixture.hpp
@@ -62,6 +62,6 @@
     boost::asio::io_context context;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work;
     rattanbay::http::connection_pool pool;
-    rattanbay::http::exchange_timeouts limits;
+    rattanbay::http::exchange_limits limits;
     std::thread thread;
 };
--- a/packages/http/include/rattanbay/http.hpp
+++ b/packages/http/include/rattanbay/http.hpp
@@ -8,6 +8,7 @@
 /// - connection_pool.hpp: pool of idle client connections
 /// - message.hpp: requests, responses and header fields
 /// - operation_timeout.hpp: timeout of an operation that does not win over data that has arrived
+/// - response_memory.hpp: bounds on the memory of the responses that a process holds
 /// - server.hpp: listener, connections and their limits
 /// - unanswered_request.hpp: report of a request whose connection ended without a complete response
 
@@ -16,5 +17,6 @@
 #include <rattanbay/http/connection_pool.hpp>
 #include <rattanbay/http/message.hpp>
 #include <rattanbay/http/operation_timeout.hpp>
+#include <rattanbay/http/response_memory.hpp>
 #include <rattanbay/http/server.hpp>
 #include <rattanbay/http/unanswered_request.hpp>
--- a/packages/http/include/rattanbay/http/client_connection.hpp
+++ b/packages/http/include/rattanbay/http/client_connection.hpp
@@ -4,6 +4,7 @@
 #include <rattanbay/base/error.hpp>
 #include <rattanbay/base/time.hpp>
 #include <rattanbay/http/message.hpp>
+#include <rattanbay/http/response_memory.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -16,14 +17,18 @@
 
 namespace asio = boost::asio;
 
-/// Timeouts of the steps of one exchange.
-struct exchange_timeouts {
+/// Timeouts of the steps of one exchange and the bound on its response.
+struct exchange_limits {
     base::duration connect = std::chrono::milliseconds(300);
     base::duration write = std::chrono::seconds(2);
     /// For the complete response header.
     base::duration response_header = std::chrono::seconds(2);
-    /// For each read of the response body.
+    /// For the complete response body.
     base::duration body_read = std::chrono::seconds(1);
+    /// Size of the response body, unless `memory` is set.
+    std::size_t max_body_bytes = 16 * 1024 * 1024;
+    /// Memory that bounds the response body together with other responses; null if only this one is bounded.
+    response_memory* memory = nullptr;
 };
 
 /// One connection to a server. It carries one exchange at a time: `send`, `read_header`, then
@@ -45,11 +50,13 @@
     /// write is reported by `read_header`.
     virtual void begin_send(request message, base::duration timeout) = 0;
 
-    /// Reads the status line and the header fields.
+    /// Reads the status line and the header fields; a header that is too large is `exhausted`.
     virtual asio::awaitable<base::result<response_header>> read_header(base::duration timeout) = 0;
 
     /// Reads the next part of the body; returns an empty string at the end of a complete body. A
-    /// truncated body is `connection_broken`, a malformed one `protocol_violation`.
+    /// truncated body is `connection_broken`, a malformed one `protocol_violation`. Bytes between two parts
+    /// of a body that are no content, such as chunk extensions or trailers, are `exhausted` if there are too
+    /// many.
     virtual asio::awaitable<base::result<std::string>> read_some(base::duration timeout) = 0;
 
     /// Whether the last exchange completed, no data is left over and the server keeps the connection
@@ -69,8 +76,12 @@
     virtual void close() = 0;
 };
 
-/// Reads the rest of a body of at most `max_bytes`; a longer one is `exhausted`. The timeout applies to
-/// each read.
+/// Reads the rest of a body. The timeout applies to all of it, however many parts it arrives in. Error
+/// besides those of `client_connection`: `exhausted` if `held`, which has its size afterwards, cannot grow.
+asio::awaitable<base::result<std::string>> read_body(client_connection& connection, base::duration timeout,
+                                                     response_memory::share& held);
+
+/// The same for a body of at most `max_bytes`; a longer one is `exhausted`.
 asio::awaitable<base::result<std::string>> read_body(client_connection& connection, base::duration timeout,
                                                      std::size_t max_bytes);
 
--- a/packages/http/include/rattanbay/http/connection_pool.hpp
+++ b/packages/http/include/rattanbay/http/connection_pool.hpp
@@ -54,12 +54,12 @@
 /// `unavailable` if `may_send` did not hold, so that nothing was sent.
 asio::awaitable<base::result<response>> exchange(asio::any_io_executor executor, connection_pool& pool,
                                                  base::address address, request message,
-                                                 exchange_timeouts timeouts, send_condition may_send = {},
+                                                 exchange_limits limits, send_condition may_send = {},
                                                  connection_observer on_connection = {});
 
 /// Performs one exchange on a new connection, without retries. After any error other than
 /// `connection_refused` the server may have processed the request.
 asio::awaitable<base::result<response>> exchange_once(asio::any_io_executor executor, base::address address,
-                                                      request message, exchange_timeouts timeouts);
+                                                      request message, exchange_limits limits);
 
 } // namespace rattanbay::http
--- a/packages/http/src/client_connection.cpp
+++ b/packages/http/src/client_connection.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <limits>
@@ -22,6 +23,9 @@
 using boost::system::error_code;
 
 constexpr std::size_t max_response_header_bytes = 64 * 1024;
+/// Received bytes that the parser has not consumed. The parser consumes content at once, so that more than a
+/// header means a chunk extension or a trailer without end.
+constexpr std::size_t max_unparsed_bytes = 2 * max_response_header_bytes;
 
 base::error to_error(const error_code& ec, const base::address& remote_address, const char* operation) {
     const std::string message = std::string(operation) + " " + remote_address.text() + ": " + ec.message();
@@ -31,6 +35,11 @@
     if (ec == asio::error::connection_refused) {
         return base::error{base::error_code::connection_refused, message};
     }
+    const bool too_large = ec == beast::http::error::header_limit || ec == beast::http::error::body_limit ||
+                           ec == beast::http::error::buffer_overflow;
+    if (too_large) {
+        return base::error{base::error_code::exhausted, message};
+    }
     const bool malformed =
         ec.category() == beast::http::make_error_code(beast::http::error::bad_version).category();
     const bool truncated =
@@ -41,6 +50,11 @@
     return base::error{base::error_code::connection_broken, message};
 }
 
+base::duration time_until(std::chrono::steady_clock::time_point end) {
+    const std::chrono::steady_clock::duration left = end - std::chrono::steady_clock::now();
+    return std::max(base::duration::zero(), std::chrono::duration_cast<base::duration>(left));
+}
+
 /// Value of `Keep-Alive: timeout=N`.
 std::optional<base::duration> parse_keep_alive_timeout(const fields& fields) {
     constexpr std::string_view key = "timeout=";
@@ -139,11 +153,12 @@
     asio::awaitable<base::result<std::string>> read_some(base::duration timeout) override {
         assert(parser_.has_value());
         const asio::any_io_executor executor = co_await asio::this_coro::executor;
+        const std::chrono::steady_clock::time_point end = std::chrono::steady_clock::now() + timeout;
         while (!parser_->is_done()) {
             parser_->get().body().data = read_buffer_.data();
             parser_->get().body().size = read_buffer_.size();
             error_code ec;
-            operation_timeout limit(executor, stream_, timeout, awaited_readiness::read);
+            operation_timeout limit(executor, stream_, time_until(end), awaited_readiness::read);
             co_await beast::http::async_read_some(stream_, buffer_, *parser_,
                                                   asio::redirect_error(asio::use_awaitable, ec));
             ec = limit.finish(ec);
@@ -236,7 +251,7 @@
     std::shared_ptr<stream_state> state_;
     beast::tcp_stream& stream_;
     base::address remote_address_;
-    beast::flat_buffer buffer_;
+    beast::flat_buffer buffer_{max_unparsed_bytes};
     std::optional<beast::http::response_parser<beast::http::buffer_body>> parser_;
     std::array<char, read_buffer_bytes> read_buffer_{};
     std::optional<base::duration> keep_alive_timeout_;
@@ -257,22 +272,30 @@
 }
 
 asio::awaitable<base::result<std::string>> read_body(client_connection& connection, base::duration timeout,
-                                                     std::size_t max_bytes) {
+                                                     response_memory::share& held) {
+    const std::chrono::steady_clock::time_point end = std::chrono::steady_clock::now() + timeout;
     std::string body;
     while (true) {
-        base::result<std::string> data = co_await connection.read_some(timeout);
-        if (!data) {
-            co_return tl::unexpected<base::error>(data.error());
+        const base::result<std::string> part = co_await connection.read_some(time_until(end));
+        if (!part) {
+            co_return tl::unexpected<base::error>(part.error());
         }
-        if (data->empty()) {
+        if (part->empty()) {
             co_return body;
         }
-        body += *data;
-        if (body.size() > max_bytes) {
-            co_return base::fail(base::error_code::exhausted,
-                                 "the body is larger than " + std::to_string(max_bytes) + " bytes");
+        const base::result<void> fits = held.resize(body.size() + part->size());
+        if (!fits) {
+            co_return tl::unexpected<base::error>(fits.error());
         }
+        body += *part;
     }
 }
 
+asio::awaitable<base::result<std::string>> read_body(client_connection& connection, base::duration timeout,
+                                                     std::size_t max_bytes) {
+    response_memory memory(max_bytes, max_bytes);
+    response_memory::share held(memory);
+    co_return co_await read_body(connection, timeout, held);
+}
+
 } // namespace rattanbay::http
--- a/packages/http/src/connection_pool.cpp
+++ b/packages/http/src/connection_pool.cpp
@@ -4,19 +4,19 @@
 
 namespace {
 
-constexpr std::size_t max_response_bytes = 16 * 1024 * 1024;
-
 asio::awaitable<base::result<response>> exchange_on(client_connection& connection, request message,
-                                                    exchange_timeouts timeouts) {
-    const base::result<void> sent = co_await connection.send(std::move(message), timeouts.write);
+                                                    exchange_limits limits) {
+    const base::result<void> sent = co_await connection.send(std::move(message), limits.write);
     if (!sent) {
         co_return tl::unexpected<base::error>(sent.error());
     }
-    base::result<response_header> header = co_await connection.read_header(timeouts.response_header);
+    base::result<response_header> header = co_await connection.read_header(limits.response_header);
     if (!header) {
         co_return tl::unexpected<base::error>(header.error());
     }
-    base::result<std::string> body = co_await read_body(connection, timeouts.body_read, max_response_bytes);
+    response_memory own_memory(limits.max_body_bytes, limits.max_body_bytes);
+    response_memory::share held(limits.memory != nullptr ? *limits.memory : own_memory);
+    base::result<std::string> body = co_await read_body(connection, limits.body_read, held);
     if (!body) {
         co_return tl::unexpected<base::error>(body.error());
     }
@@ -28,12 +28,12 @@
 }
 
 asio::awaitable<base::result<response>> observed_exchange(client_connection& connection, request message,
-                                                          exchange_timeouts timeouts,
+                                                          exchange_limits limits,
                                                           const connection_observer& on_connection) {
     if (on_connection) {
         on_connection(&connection);
     }
-    base::result<response> result = co_await exchange_on(connection, std::move(message), timeouts);
+    base::result<response> result = co_await exchange_on(connection, std::move(message), limits);
     if (on_connection) {
         on_connection(nullptr);
     }
@@ -90,18 +90,18 @@
 }
 
 asio::awaitable<base::result<response>> exchange_once(asio::any_io_executor executor, base::address address,
-                                                      request message, exchange_timeouts timeouts) {
+                                                      request message, exchange_limits limits) {
     base::result<std::unique_ptr<client_connection>> opened =
-        co_await client_connection::connect(executor, address, timeouts.connect);
+        co_await client_connection::connect(executor, address, limits.connect);
     if (!opened) {
         co_return tl::unexpected<base::error>(opened.error());
     }
-    co_return co_await exchange_on(**opened, std::move(message), timeouts);
+    co_return co_await exchange_on(**opened, std::move(message), limits);
 }
 
 asio::awaitable<base::result<response>> exchange(asio::any_io_executor executor, connection_pool& pool,
                                                  base::address address, request message,
-                                                 exchange_timeouts timeouts, send_condition may_send,
+                                                 exchange_limits limits, send_condition may_send,
                                                  connection_observer on_connection) {
     base::result<response> result = base::fail(base::error_code::unavailable, "the request was not sent");
     std::unique_ptr<client_connection> idle = pool.acquire(address);
@@ -110,7 +110,7 @@
         co_return result;
     }
     if (idle) {
-        result = co_await observed_exchange(*idle, message, timeouts, on_connection);
+        result = co_await observed_exchange(*idle, message, limits, on_connection);
         if (result) {
             pool.release(std::move(idle));
             co_return result;
@@ -122,7 +122,7 @@
         }
     }
     base::result<std::unique_ptr<client_connection>> opened =
-        co_await client_connection::connect(executor, address, timeouts.connect);
+        co_await client_connection::connect(executor, address, limits.connect);
     if (!opened) {
         co_return tl::unexpected<base::error>(opened.error());
     }
@@ -130,7 +130,7 @@
         // After a failed send on the pooled connection, its error says more about the request.
         co_return result;
     }
-    result = co_await observed_exchange(**opened, std::move(message), timeouts, on_connection);
+    result = co_await observed_exchange(**opened, std::move(message), limits, on_connection);
     if (result) {
         pool.release(std::move(*opened));
     }
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -31,13 +31,18 @@
 using internal::beast_responder;
 using internal::read_timeout;
 
+/// Received bytes of a body that the parser has not consumed.
+constexpr std::size_t max_unparsed_body_bytes = 64 * 1024;
+
 /// Maps a read error to the error passed to the callback that builds the response; empty if the client has
 /// disconnected and cannot receive a response.
 std::optional<base::error> rejection_error(const error_code& ec) {
     if (ec == beast::http::error::end_of_stream || ec == beast::http::error::partial_message) {
         return std::nullopt;
     }
-    if (ec == beast::http::error::body_limit || ec == beast::http::error::header_limit) {
+    const bool too_large = ec == beast::http::error::body_limit || ec == beast::http::error::header_limit ||
+                           ec == beast::http::error::buffer_overflow;
+    if (too_large) {
         return base::error{base::error_code::exhausted, "the request is too large: " + ec.message()};
     }
     if (ec == beast::error::timeout) {
@@ -410,6 +415,8 @@
                       const server_limits& limits) {
     parser.header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
     parser.body_limit(limits.max_body_bytes);
+    // Bounds chunk extensions and trailers, which count neither as header nor as body.
+    buffer_.max_size(limits.max_header_bytes + max_unparsed_body_bytes);
     stream_.expires_never();
     read_timeout header_timeout(stream_, limits.header_timeout);
     error_code ec = co_await read_header(limits.max_header_bytes);
--- a/packages/http/test/loopback.hpp
+++ b/packages/http/test/loopback.hpp
@@ -53,7 +53,7 @@
     rattanbay::base::address address;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work;
     rattanbay::http::connection_pool pool;
-    rattanbay::http::exchange_timeouts timeouts;
+    rattanbay::http::exchange_limits timeouts;
     std::shared_ptr<rattanbay::http::server> server;
     std::thread thread;
 };
--- a/packages/relay/include/rattanbay/relay/event_splitter.hpp
+++ b/packages/relay/include/rattanbay/relay/event_splitter.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -15,20 +16,28 @@
 };
 
 /// Splits the body of an event stream into complete events. Truncated events are never returned, so that a
-/// broken stream can be resumed after the last event that was passed on.
+/// broken stream can be resumed after the last event that was passed on. The caller bounds `pending_bytes`;
+/// the time is proportional to the bytes received, however they are divided.
 class event_splitter {
 public:
     /// Appends received bytes of the stream.
-    void append(std::string_view bytes) { pending_ += bytes; }
+    void append(std::string_view bytes);
 
     /// Extracts the next complete event; empty if more bytes are needed.
     std::optional<stream_event> next();
 
     /// Whether bytes of an incomplete event remain.
-    bool has_partial_event() const { return !pending_.empty(); }
+    bool has_partial_event() const { return pending_bytes() > 0; }
+
+    /// Received bytes that were not returned yet.
+    std::size_t pending_bytes() const { return received_.size() - begin_; }
 
 private:
-    std::string pending_;
+    std::string received_;
+    /// Start of the first event that was not returned yet.
+    std::size_t begin_ = 0;
+    /// No event ends at or before this position.
+    std::size_t searched_ = 0;
 };
 
 } // namespace rattanbay::relay
--- a/packages/relay/src/event_splitter.cpp
+++ b/packages/relay/src/event_splitter.cpp
@@ -1,5 +1,7 @@
 #include <rattanbay/relay/event_splitter.hpp>
 
+#include <algorithm>
+
 namespace rattanbay::relay {
 
 namespace {
@@ -24,9 +26,12 @@
     return id;
 }
 
-/// Returns the position after the first empty line, or npos.
-std::size_t find_event_end(std::string_view bytes) {
-    for (std::size_t n = bytes.find('\n'); n != std::string_view::npos; n = bytes.find('\n', n + 1)) {
+/// Characters of the longest end of an event that may be incomplete, `\n\r`.
+constexpr std::size_t max_partial_end = 2;
+
+/// Returns the position after the first empty line whose preceding line ends at `from` or later, or npos.
+std::size_t find_event_end(std::string_view bytes, std::size_t from) {
+    for (std::size_t n = bytes.find('\n', from); n != std::string_view::npos; n = bytes.find('\n', n + 1)) {
         const std::string_view rest = bytes.substr(n + 1);
         if (rest.starts_with('\n')) {
             return n + 2;
@@ -40,14 +45,24 @@
 
 } // namespace
 
+void event_splitter::append(std::string_view bytes) {
+    received_.erase(0, begin_);
+    searched_ -= begin_;
+    begin_ = 0;
+    received_ += bytes;
+}
+
 std::optional<stream_event> event_splitter::next() {
-    const std::size_t end = find_event_end(pending_);
+    const std::size_t end = find_event_end(received_, searched_);
     if (end == std::string::npos) {
+        const std::size_t partial = std::min(max_partial_end, pending_bytes());
+        searched_ = std::max(searched_, received_.size() - partial);
         return std::nullopt;
     }
-    stream_event out{pending_.substr(0, end), std::nullopt};
+    stream_event out{received_.substr(begin_, end - begin_), std::nullopt};
     out.id = event_id(out.bytes);
-    pending_.erase(0, end);
+    begin_ = end;
+    searched_ = end;
     return out;
 }
 
--- a/packages/telemetry/include/rattanbay/telemetry/log_event.hpp
+++ b/packages/telemetry/include/rattanbay/telemetry/log_event.hpp
@@ -37,6 +37,7 @@
     platform_call_delayed = 3007,
     store_restored = 3009,
     registry_entry_written = 3010,
+    store_role_changed = 3011,
     member_joined = 4001,
     member_suspected = 4002,
     member_lost = 4003,
@@ -55,6 +56,8 @@
     relay_replacement_started = 5012,
     connection_closed = 5013,
     connection_closed_in_doubt = 5014,
+    response_too_large = 5015,
+    piece_scheduler_suspected = 5016,
     ledger_rotated = 6001,
     record_unavailable = 6002,
     owner_sealed = 6003,
@@ -80,7 +83,7 @@
 };
 
 /// All log events, ordered by number.
-constexpr std::array<log_event_info, 59> log_events{{
+constexpr std::array<log_event_info, 62> log_events{{
     {log_event::daemon_started, log_level::info, "The daemon listens on all its addresses."},
     {log_event::daemon_draining, log_level::info, "A planned stop began; the daemon leaves the entry lists."},
     {log_event::daemon_stopped, log_level::info, "The planned stop ended; no request was left open."},
@@ -122,6 +125,8 @@
      "The store came back from a copy; what was written since the copy is gone."},
     {log_event::registry_entry_written, log_level::info,
      "The daemon's entry in the store was written or found."},
+    {log_event::store_role_changed, log_level::info,
+     "The daemon began to read the store without delay, or left that to others of its failure domain."},
     {log_event::member_joined, log_level::info, "Another daemon was found."},
     {log_event::member_suspected, log_level::warning,
      "A daemon does not answer probes and leaves the entry lists."},
@@ -153,6 +158,11 @@
      "A client's connection ended; the line names the reason, the idle time and the idle timeout."},
     {log_event::connection_closed_in_doubt, log_level::info,
      "An idle connection was closed with unread bytes, or after its idle timeout had changed."},
+    {log_event::response_too_large, log_level::warning,
+     "A server sent more than a response may have; its connection was closed."},
+    {log_event::piece_scheduler_suspected, log_level::warning,
+     "The daemon that schedules a stage is suspected; the line names whether another one gets the stage, "
+     "too."},
     {log_event::ledger_rotated, log_level::warning,
      "The ledger was sealed by another VM; a new one was started."},
     {log_event::record_unavailable, log_level::warning, "The ledger's record cannot be written."},
@@ -191,7 +201,7 @@
 };
 
 template <> struct rattanbay::base::enum_names<rattanbay::telemetry::log_event> {
-    static constexpr std::array<enum_name<telemetry::log_event>, 59> table{{
+    static constexpr std::array<enum_name<telemetry::log_event>, 62> table{{
         {telemetry::log_event::daemon_started, "daemon_started"},
         {telemetry::log_event::daemon_draining, "daemon_draining"},
         {telemetry::log_event::daemon_stopped, "daemon_stopped"},
@@ -218,6 +228,7 @@
         {telemetry::log_event::platform_call_delayed, "platform_call_delayed"},
         {telemetry::log_event::store_restored, "store_restored"},
         {telemetry::log_event::registry_entry_written, "registry_entry_written"},
+        {telemetry::log_event::store_role_changed, "store_role_changed"},
         {telemetry::log_event::member_joined, "member_joined"},
         {telemetry::log_event::member_suspected, "member_suspected"},
         {telemetry::log_event::member_lost, "member_lost"},
@@ -236,6 +247,8 @@
         {telemetry::log_event::relay_replacement_started, "relay_replacement_started"},
         {telemetry::log_event::connection_closed, "connection_closed"},
         {telemetry::log_event::connection_closed_in_doubt, "connection_closed_in_doubt"},
+        {telemetry::log_event::response_too_large, "response_too_large"},
+        {telemetry::log_event::piece_scheduler_suspected, "piece_scheduler_suspected"},
         {telemetry::log_event::ledger_rotated, "ledger_rotated"},
         {telemetry::log_event::record_unavailable, "record_unavailable"},
         {telemetry::log_event::owner_sealed, "owner_sealed"},
--- a/packages/telemetry/include/rattanbay/telemetry/metrics.hpp
+++ b/packages/telemetry/include/rattanbay/telemetry/metrics.hpp
@@ -80,6 +80,9 @@
     /// Counts a connection of a client that has ended, by the reason.
     void record_closed_connection(std::string_view reason);
 
+    /// Counts a response that was given up because of its size. `server` is "endpoint" or "platform".
+    void record_oversized_response(std::string_view server);
+
     /// Counts bytes of control traffic to or from other daemons.
     void add_peer_bytes(std::string_view direction, std::size_t count);
 
--- a/packages/telemetry/src/metrics.cpp
+++ b/packages/telemetry/src/metrics.cpp
@@ -80,6 +80,11 @@
             .Name("rattanbay_closed_connections_total")
             .Help("Ended client connections by reason")
             .Register(registry);
+    prometheus::Family<prometheus::Counter>& oversized_responses =
+        prometheus::BuildCounter()
+            .Name("rattanbay_oversized_responses_total")
+            .Help("Responses that were given up because of their size")
+            .Register(registry);
     prometheus::Family<prometheus::Counter>& unused_results =
         prometheus::BuildCounter()
             .Name("rattanbay_unused_results_total")
@@ -224,6 +229,10 @@
     state_->closed_connections.Add({{"reason", std::string(reason)}}).Increment();
 }
 
+void metrics::record_oversized_response(std::string_view server) {
+    state_->oversized_responses.Add({{"server", std::string(server)}}).Increment();
+}
+
 void metrics::add_unused_results(const base::service_name& service, std::size_t count) {
     state_->unused_results.Add({{"service", service.text()}}).Increment(static_cast<double>(count));
 }
