Recognise second copies of answers of worker pools

Answers to calls for pieces name no call. A second copy of one, sent late on a kept connection, was taken for the answer to the next call, and every later answer on that connection for that of the call after it: results of one request became inputs of another one. Only the number of results was compared.

The scheduler of a pool now knows the handles of all results for their lifetime; an answer with a known one is a copy and its call is broken. Answers without results, refusals and unreadable ones cannot be told from copies, so the kept connections to the endpoint are closed after them. Calls that release results have connections of their own.

Test: platform_adapter_tests/second_answer.

--- a/packages/daemon/src/internal/piece_pool.hpp
+++ b/packages/daemon/src/internal/piece_pool.hpp
@@ -145,6 +145,9 @@
                         std::vector<relay::held_result>& held);
     void retry_batch(const base::service_name& service, const relay::piece_batch& batch,
                      relay::attempt_result result);
+    /// Closes the kept connections to an endpoint, as an answer may have been a copy of an earlier one. Each
+    /// further answer on its connection would then be taken for that of the next call.
+    void distrust_connections(const relay::piece_batch& batch, std::string_view detail);
     /// Records the end of a piece's call and returns the piece if it is neither done nor in another call or
     /// the queue.
     piece_job* end_piece_call(relay::piece_id id);
@@ -169,6 +172,9 @@
     std::map<relay::piece_id, piece_job> pieces_;
     std::map<base::service_name, service_queue> queues_;
     std::map<base::address, std::vector<std::string>> releases_;
+    /// Connections of calls that release results. Their answers cannot be told from those of other calls, so
+    /// that they do not share connections with them.
+    http::connection_pool release_connections_;
     bool flush_scheduled_ = false;
     /// Number of calls in progress that release results.
     std::size_t open_releases_ = 0;
--- a/packages/daemon/src/piece_pool.cpp
+++ b/packages/daemon/src/piece_pool.cpp
@@ -425,12 +425,23 @@
         return relay::attempt_result::declined;
     }
     constexpr int status_ok = 200;
-    if (response->status != status_ok) {
-        return relay::attempt_result::broken;
+    if (header.not_run || response->status != status_ok) {
+        distrust_connections(batch, "");
+        return header.not_run ? relay::attempt_result::declined : relay::attempt_result::broken;
     }
     const base::result<std::vector<relay::piece_result>> results =
+        distrust_connections(batch, detail);
+        return relay::attempt_result::broken;
+    }
+    const relay::answer_origin origin = queues_[service].scheduler.origin_of(*results);
+    if (origin == relay::answer_origin::earlier_call) {
+        detail = "the answer has results of an earlier call";
+        distrust_connections(batch, detail);
         relay_.protocol->read_piece_results(response->body, batch.pieces.size());
     if (!results) {
+    if (origin == relay::answer_origin::unknown) {
+        distrust_connections(batch, "");
+    }
         detail = results.error().message;
         return relay::attempt_result::broken;
     }
@@ -471,6 +482,16 @@
     if (!unneeded.empty()) {
         metrics_.add_unused_results(service, unneeded.size());
         release(service, unneeded);
+void piece_pool::distrust_connections(const relay::piece_batch& batch, std::string_view detail) {
+    relay_.pool.close_idle(batch.endpoint.address);
+    if (!detail.empty()) {
+        telemetry::log(telemetry::log_event::crossed_answer,
+                       {{"request", batch.pieces.front().order.request.text()},
+                        {"endpoint", batch.endpoint.id.text()},
+                        {"detail", std::string(detail)}});
+    }
+}
+
     }
 }
 
@@ -583,7 +604,7 @@
     limits.response_header = release_timeout;
     http::request message = relay_.protocol->write_release_request(handles);
     const base::result<http::response> response =
-        co_await http::exchange(strand_, relay_.pool, holder, std::move(message), limits);
+        co_await http::exchange(strand_, release_connections_, holder, std::move(message), limits);
     --open_releases_;
     if (!response) {
         // The holder frees the results itself when their lifetime ends.
--- a/packages/relay/include/rattanbay/relay/piece_scheduler.hpp
+++ b/packages/relay/include/rattanbay/relay/piece_scheduler.hpp
@@ -70,6 +70,17 @@
     std::uint64_t bytes = 0;
 };
 
+/// What the results of a call's answer tell about its origin. Answers to calls name no call, and a faulty
+/// endpoint may send one twice, so that the second copy arrives as the answer to the next call.
+enum class answer_origin {
+    /// It has results that no answer had before.
+    this_call,
+    /// It has a result of an earlier answer.
+    earlier_call,
+    /// It has no results, so that it may be the copy of another one.
+    unknown,
+};
+
 /// Batches the pieces of one service into calls to its endpoints. A call takes about the same time for one
 /// piece as for several, so pieces of different requests share calls. Stages are ordered by urgency, then by
 /// target start; stages that have missed their target start go last. The pieces of a stage are sent together,
@@ -127,6 +138,9 @@
     /// Records that a result is no longer needed and its space is free.
     void release_result(std::string_view handle);
 
+    /// Origin of an answer with these results.
+    answer_origin origin_of(const std::vector<piece_result>& results) const;
+
     /// Number of waiting pieces.
     std::size_t waiting() const { return waiting_; }
 
@@ -159,6 +173,7 @@
         base::endpoint_id endpoint;
         std::uint64_t bytes = 0;
         expiry_index::iterator expiry;
+        bool released = false;
     };
 
     /// Hash function for handles that avoids copies of the handle in searches.
@@ -197,6 +212,8 @@
     std::size_t pieces_ahead(const waiting_stage& stage, base::time_point now) const;
     void hold_result(const base::endpoint_id& endpoint, const held_result& held, base::time_point expiry);
     void remove_expired_results(base::time_point now);
+    /// Frees the space of a result that was not released yet.
+    void free_space(result_state& result);
     std::size_t free_slots(const endpoint_state& state) const;
     static bool takes_calls(const endpoint_state& state, base::time_point now);
     /// Strict weak ordering of stages by priority.
@@ -217,6 +234,7 @@
     std::map<base::endpoint_id, endpoint_state> former_endpoints_;
     stage_queue queue_;
     std::size_t waiting_ = 0;
+    /// Results whose lifetime has not ended. Released ones are kept to recognise copies of their answers.
     std::unordered_map<std::string, result_state, handle_hash, std::equal_to<>> results_;
     /// Thousands of results are held, so that the expired ones are not searched for among all of them.
     expiry_index results_by_expiry_;
--- a/packages/relay/src/piece_scheduler.cpp
+++ b/packages/relay/src/piece_scheduler.cpp
@@ -148,7 +148,10 @@
 
 void piece_scheduler::remove_expired_results(base::time_point now) {
     while (!results_by_expiry_.empty() && results_by_expiry_.begin()->first <= now) {
-        release_result(results_by_expiry_.begin()->second);
+        const auto it = results_.find(results_by_expiry_.begin()->second);
+        free_space(it->second);
+        results_by_expiry_.erase(results_by_expiry_.begin());
+        results_.erase(it);
     }
 }
 
@@ -359,19 +362,34 @@
         results_by_expiry_.emplace_hint(results_by_expiry_.end(), expiry, std::string_view(it->first))};
 }
 
-void piece_scheduler::release_result(std::string_view handle) {
-    const auto it = results_.find(handle);
-    if (it == results_.end()) {
+void piece_scheduler::free_space(result_state& result) {
+    if (result.released) {
         return;
     }
-    const base::endpoint_id holder = it->second.endpoint;
-    endpoint_state* const state = find_endpoint(holder);
+    result.released = true;
+    endpoint_state* const state = find_endpoint(result.endpoint);
     if (state != nullptr) {
-        state->held_bytes -= std::min(state->held_bytes, it->second.bytes);
+        state->held_bytes -= std::min(state->held_bytes, result.bytes);
+    }
+    remove_if_idle(result.endpoint);
+}
+
+void piece_scheduler::release_result(std::string_view handle) {
+    const auto it = results_.find(handle);
+    if (it != results_.end()) {
+        free_space(it->second);
+    }
+}
+
+answer_origin piece_scheduler::origin_of(const std::vector<piece_result>& results) const {
+    answer_origin out = answer_origin::unknown;
+    for (const piece_result& result : results) {
+        if (result.handle && results_.contains(*result.handle)) {
+            return answer_origin::earlier_call;
+        }
+        out = result.handle ? answer_origin::this_call : out;
     }
-    results_by_expiry_.erase(it->second.expiry);
-    results_.erase(it);
-    remove_if_idle(holder);
+    return out;
 }
 
 } // namespace rattanbay::relay
