Answer a stream's request before its client gives it up

Clients give up a stream without an event after the longest of 2 s, four objectives and eight gaps.

Stages have to be made and streams to begin within it; what has not begun 0.1 s before its end gets its final answer. Endpoints still get the whole deadline.

--- a/packages/config/include/rattanbay/config/relay_document.hpp
+++ b/packages/config/include/rattanbay/config/relay_document.hpp
@@ -61,6 +61,9 @@
     base::duration latency_objective{};
     /// Maximum gap between two events of a stream that meets the objective.
     base::duration max_event_gap{};
+    /// Time after which clients give up a stream that sends no event, also before its first one; 0 if they
+    /// wait for as long as their request has.
+    base::duration client_patience{};
     /// Lower values are served first.
     int urgency = 0;
     /// Maximum number of endpoints that may run one request, at least 1.
--- a/packages/config/src/relay_reader.cpp
+++ b/packages/config/src/relay_reader.cpp
@@ -65,6 +65,7 @@
     out.timeout = read_ms(reader, "timeout_ms");
     out.latency_objective = read_ms(reader, "objective_ms", presence::optional);
     out.max_event_gap = read_ms(reader, "longest_pause_ms", presence::optional);
+    out.client_patience = read_ms(reader, "patience_ms", presence::optional);
     out.urgency = static_cast<int>(
         reader.signed_integer("urgency", 0, max_urgency, presence::optional).value_or(out.urgency));
     out.max_attempts =
--- a/packages/daemon/src/internal/relay_run.hpp
+++ b/packages/daemon/src/internal/relay_run.hpp
@@ -105,6 +105,7 @@
     /// Waits for the outcome of a replacement in progress. Returns the attempt if its response has begun.
     asio::awaitable<std::shared_ptr<relay_attempt>> take_replacement();
 
+    /// Time until the answer has to be complete, or until a stream has to begin.
     base::duration remaining_time() const;
     base::duration retry_delay();
     asio::awaitable<void> send_failure(http::responder& out);
@@ -124,6 +125,8 @@
     base::random_source random_;
     base::service_name service_;
     base::time_point deadline_;
+    /// Time by which the answer has to begin: clients give up a silent stream before its deadline.
+    base::time_point start_deadline_;
     std::shared_ptr<input_stages> stages_;
     /// Parts of the prompt that other requests may share.
     const std::vector<relay::part_key> shared_parts_;
@@ -143,10 +146,10 @@
     relay::attempt_result last_result_ = relay::attempt_result::not_sent;
     /// Error response of an endpoint, forwarded if no other attempt succeeds.
     std::optional<http::response> failure_response_;
+    std::optional<http::response_memory::share> failure_memory_;
     /// Identifier of the last event that was forwarded.
     std::optional<std::string> last_event_id_;
     bool stream_started_ = false;
-    std::optional<http::response_memory::share> failure_memory_;
     bool client_disconnected_ = false;
     bool ended_early_ = false;
     /// Set while the request is handled.
--- a/packages/daemon/src/relay_result.cpp
+++ b/packages/daemon/src/relay_result.cpp
@@ -51,8 +51,8 @@
 }
 
 base::duration relay_run::retry_delay() {
-    const base::duration scaled =
-        std::chrono::duration_cast<base::duration>(remaining_time() * retry_delay_fraction);
+    const base::duration left = std::max(base::duration::zero(), deadline_ - now());
+    const base::duration scaled = std::chrono::duration_cast<base::duration>(left * retry_delay_fraction);
     const base::duration max_delay = std::clamp<base::duration>(scaled, min_retry_delay, max_retry_delay);
     const double jitter = 0.5 + random_.unit() / 2;
     return std::chrono::duration_cast<base::duration>(max_delay * jitter);
--- a/packages/daemon/src/relay_run.cpp
+++ b/packages/daemon/src/relay_run.cpp
@@ -17,6 +17,8 @@
 /// Maximum idle time of a pooled connection used for an at-most-once request. If the endpoint closes an idle
 /// connection while the request is on its way, it is unknown whether the request ran.
 constexpr std::chrono::milliseconds max_unrepeatable_idle{500};
+/// Time for a final answer to reach a client before it gives up its stream.
+constexpr std::chrono::milliseconds final_answer_time{100};
 /// Assumed response time while none has been measured.
 constexpr std::chrono::milliseconds default_response_time{300};
 constexpr int min_server_error_status = 500;
@@ -39,6 +41,13 @@
     std::function<void()> function_;
 };
 
+/// Time by which the answer to a request that arrived at `arrival` has to begin.
+base::time_point start_deadline(const config::relay_route& route, base::time_point arrival,
+                                base::time_point deadline) {
+    const bool gives_up = route.streamed && route.client_patience > base::duration::zero();
+    return gives_up ? std::min(deadline, arrival + route.client_patience - final_answer_time) : deadline;
+}
+
 bool is_repeatable(const config::relay_route& route) {
     return route.retry != config::retry_mode::at_most_once;
 }
@@ -58,6 +67,7 @@
     , service_(relay::choose_target(*input_.route, random_))
     , deadline_(input_.arrival +
                 std::min(input_.request.time_left.value_or(input_.route->timeout), input_.route->timeout))
+    , start_deadline_(start_deadline(*input_.route, input_.arrival, deadline_))
     , shared_parts_(input_.request.prompt ? relay::shared_part_keys(service_, *input_.request.prompt)
                                           : std::vector<relay::part_key>())
     , input_release_timer_(executor)
@@ -153,6 +163,7 @@
 void relay_run::end_early() {
     ended_early_ = true;
     deadline_ = std::min(deadline_, now());
+    start_deadline_ = std::min(start_deadline_, deadline_);
     close_attempts();
 }
 
@@ -175,7 +186,7 @@
     stage_plan plan{&relay_,        &input_.request,   input_.route, input_.serving,
                     input_.urgency, preferred_domain_, {},           {}};
     plan.target_start = input_.arrival + objective - response_time;
-    plan.latest_start = deadline_ - response_time / 2;
+    plan.latest_start = start_deadline_ - response_time / 2;
     return std::make_shared<input_stages>(piece_router_, executor_, std::move(plan));
 }
 
@@ -214,7 +225,8 @@
 }
 
 base::duration relay_run::remaining_time() const {
-    return std::max(base::duration::zero(), deadline_ - now());
+    const base::time_point end = stream_started_ ? deadline_ : start_deadline_;
+    return std::max(base::duration::zero(), end - now());
 }
 
 double relay_run::relative_size() const {
@@ -333,7 +345,7 @@
     }
     relay::send_options options;
     options.endpoint = current.endpoint.id;
-    options.time_left = remaining_time();
+    options.time_left = deadline_ - now();
     options.account = input_.account;
     options.urgency = input_.urgency;
     options.last_event_id = last_event_id_;
@@ -411,6 +423,7 @@
     if (is_failure) {
         current.detail = "status " + std::to_string(response.status);
         failure_response_ = std::move(response);
+        failure_memory_ = current.take_memory();
         co_return relay::attempt_result::answered_with_failure;
     }
     quarantine_->record_answer(shared_parts_);
@@ -423,7 +436,6 @@
 }
 
 asio::awaitable<bool> relay_run::forward_events(relay_attempt& current, http::responder& out) {
-        failure_memory_ = current.take_memory();
     event_batch events = std::exchange(current.events, {});
     base::result<void> sent;
     if (!stream_started_) {
