Keep the stages of a scheduler that is only suspected

A daemon that schedules a pool and does not answer probes for two seconds is suspected. The daemons whose stages it had cancelled them at once and had them made again elsewhere, beyond the budget of repeats, also if it was only slow.

A stage of a suspected scheduler is now also given to the next one, if the budget allows its pieces once more; the first result counts and the other is cancelled or released. Without a budget the first scheduler keeps the stage until it is gone.

--- a/packages/daemon/src/internal/piece_router.hpp
+++ b/packages/daemon/src/internal/piece_router.hpp
@@ -46,28 +46,58 @@
     void handle_release(const peer::release_pieces& message);
 
 private:
+    /// A stage of this daemon's requests and the schedulers that have it.
+    struct stage_submission {
+        stage_request request;
+        stage_handler on_done;
+        std::shared_ptr<exchange_handle> ticket;
+        /// Schedulers to try, in order, and the first one that was not tried yet.
+        std::vector<peer::member_record> schedulers;
+        std::size_t next = 0;
+        /// Exchanges in progress with other daemons, and the stage at this daemon.
+        std::vector<std::shared_ptr<exchange_handle>> exchanges;
+        std::optional<relay::stage_id> own;
+        bool ended = false;
+
+        bool is_in_progress() const { return !exchanges.empty() || own.has_value(); }
+    };
+
     /// Daemons to try as schedulers of a shard, in order; none if there is no shard. The list ends with this
     /// daemon if it is among them.
     std::vector<peer::member_record> schedulers_of(const membership::pool_shard* shard);
     /// Daemons to try as schedulers of a stage, in order.
     std::vector<peer::member_record> schedulers_for(const stage_request& request);
     void mark_unreachable(const peer::member_record& scheduler);
-    asio::awaitable<void> submit_with_failover(stage_request request, stage_handler on_done,
-                                               std::shared_ptr<exchange_handle> ticket);
+    /// Gives the stage to the next scheduler that can be reached, or schedules it here. A stage that another
+    /// scheduler still has is only given to further ones.
+    asio::awaitable<void> submit_with_failover(std::shared_ptr<stage_submission> stage);
+    /// Schedules the stage at this daemon.
+    void submit_to_own(const std::shared_ptr<stage_submission>& stage);
+    /// Ends the stage with its result, unless it has one already. A failure ends it only if no other
+    /// scheduler has the stage.
+    void finish(const std::shared_ptr<stage_submission>& stage, const stage_result& result);
+    /// Whether the budget of repeats allows the pieces of the stage to be made twice.
+    bool try_spend_budget(const stage_request& request);
     void record_stage(const base::service_name& service, std::string_view scheduler,
                       const stage_result& result);
-    /// Returns false, without calling `on_done`, if the other daemon could not be reached. `on_done` is not
-    /// called either if the ticket is cancelled.
-    asio::awaitable<bool> submit_to_peer(peer::member_record scheduler, const stage_request& request,
-                                         const stage_handler& on_done,
-                                         std::shared_ptr<exchange_handle> ticket);
+    /// Gives the stage to another daemon and waits for its answer. Returns false if it gave none, so that the
+    /// stage needs another scheduler.
+    asio::awaitable<bool> submit_to_peer(peer::member_record scheduler,
+                                         std::shared_ptr<stage_submission> stage);
+    /// Handles the answer of a scheduler. Returns false if it gave the stage back.
+    bool handle_answer(const std::shared_ptr<stage_submission>& stage, const peer::pieces_made& made);
     /// Splits the results by the shards whose endpoints hold them.
     void release_by_shard(const base::service_name& service, const std::vector<std::string>& handles);
     asio::awaitable<void> release_with_failover(peer::release_pieces message,
                                                 std::vector<peer::member_record> schedulers);
-    /// Cancels the exchange when the scheduler is no longer a live member.
-    asio::awaitable<void> cancel_when_lost(peer::member_record scheduler,
-                                           std::shared_ptr<exchange_handle> handle);
+    /// Watches the scheduler of a stage. When it is suspected, the stage is also given to the next one if the
+    /// budget allows it, as a scheduler that is only slow goes on with its work. When it is gone, the
+    /// exchange with it is cancelled.
+    asio::awaitable<void> watch_scheduler(peer::member_record scheduler,
+                                          std::shared_ptr<exchange_handle> handle,
+                                          std::shared_ptr<stage_submission> stage);
+    void replace_scheduler(const peer::member_record& scheduler,
+                           const std::shared_ptr<stage_submission>& stage);
 
     shared_state& shared_;
     pool_planner& planner_;
--- a/packages/daemon/src/piece_router.cpp
+++ b/packages/daemon/src/piece_router.cpp
@@ -12,6 +12,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace rattanbay::daemon::internal {
 
@@ -72,56 +73,115 @@
 
 std::shared_ptr<exchange_handle> piece_router::submit(stage_request request, stage_handler on_done) {
     const std::shared_ptr<piece_router> self = shared_from_this();
-    std::shared_ptr<exchange_handle> ticket = std::make_shared<exchange_handle>();
+    const std::shared_ptr<stage_submission> stage = std::make_shared<stage_submission>();
+    stage->request = std::move(request);
+    stage->on_done = std::move(on_done);
+    stage->ticket = std::make_shared<exchange_handle>();
     asio::co_spawn(
         strand_,
-        [self, request = std::move(request), on_done = std::move(on_done), ticket]() {
-            return self->submit_with_failover(request, on_done, ticket);
+        [self, stage]() -> asio::awaitable<void> {
+            stage->schedulers = self->schedulers_for(stage->request);
+            // Runs on the strand, like everything that refers to the stage.
+            stage->ticket->abort = [self, weak = std::weak_ptr<stage_submission>(stage)]() {
+                const std::shared_ptr<stage_submission> cancelled = weak.lock();
+                if (cancelled) {
+                    self->finish(cancelled, tl::unexpected(relay::piece_failure::failed));
+                }
+            };
+            co_await self->submit_with_failover(stage);
         },
         asio::detached);
-    return ticket;
+    return stage->ticket;
 }
 
 void piece_router::cancel(std::shared_ptr<exchange_handle> ticket) {
     asio::post(strand_, [ticket = std::move(ticket)]() { ticket->cancel(); });
 }
 
-asio::awaitable<void> piece_router::submit_with_failover(stage_request request, stage_handler on_done,
-                                                         std::shared_ptr<exchange_handle> ticket) {
+asio::awaitable<void> piece_router::submit_with_failover(std::shared_ptr<stage_submission> stage) {
     const std::shared_ptr<piece_router> self = shared_from_this();
-    const base::service_name service = request.service;
-    for (const peer::member_record& scheduler : schedulers_for(request)) {
-        if (scheduler.id == shared_.id || ticket->cancelled) {
-            break;
+    while (!stage->ended && !stage->ticket->cancelled) {
+        const bool is_last = stage->next == stage->schedulers.size();
+        if (is_last || stage->schedulers[stage->next].id == shared_.id) {
+            submit_to_own(stage);
+            co_return;
         }
-        const stage_handler on_result = [self, &service, &on_done](const stage_result& result) {
-            self->record_stage(service, "peer", result);
-            on_done(result);
-        };
-        if (co_await submit_to_peer(scheduler, request, on_result, ticket)) {
+        const peer::member_record scheduler = stage->schedulers[stage->next++];
+        if (co_await submit_to_peer(scheduler, stage)) {
             co_return;
         }
         mark_unreachable(scheduler);
-        shared_.metrics.record_scheduler_failover(service);
+        shared_.metrics.record_scheduler_failover(stage->request.service);
+        if (stage->is_in_progress()) {
+            co_return;
+        }
     }
-    if (ticket->cancelled) {
-        co_return;
+}
+
+void piece_router::submit_to_own(const std::shared_ptr<stage_submission>& stage) {
+    if (stage->own) {
+        return;
+    }
+    const std::shared_ptr<piece_router> self = shared_from_this();
+    // The result may come before the identifier is known.
+    stage->own = relay::stage_id{};
+    const relay::stage_id id = pool_.submit(stage->request, [self, stage](const stage_result& result) {
+        stage->own = std::nullopt;
+        self->record_stage(stage->request.service, "own", result);
+        if (!result && result.error() == relay::piece_failure::scheduler_stopping) {
+            asio::co_spawn(
+                self->strand_,
+                [self, stage]() -> asio::awaitable<void> {
+                    stage->schedulers = self->schedulers_for(stage->request);
+                    stage->next = 0;
+                    co_await self->submit_with_failover(stage);
+                },
+                asio::detached);
+            return;
+        }
+        self->finish(stage, result);
+    });
+    if (stage->own) {
+        stage->own = id;
+    }
+}
+
+void piece_router::finish(const std::shared_ptr<stage_submission>& stage, const stage_result& result) {
+    if (stage->ended) {
+        if (result) {
+            release(stage->request.service, *result);
+        }
+        return;
+    }
+    const bool is_cancelled = stage->ticket->cancelled;
+    if (!result && !is_cancelled && stage->is_in_progress()) {
+        return;
+    }
+    stage->ended = true;
+    for (const std::shared_ptr<exchange_handle>& exchange : std::exchange(stage->exchanges, {})) {
+        exchange->cancel();
+    }
+    if (stage->own) {
+        pool_.cancel(*std::exchange(stage->own, std::nullopt));
+    }
+    if (!is_cancelled) {
+        stage->ticket->abort = nullptr;
+        stage->on_done(result);
     }
-    const relay::stage_id stage =
-        pool_.submit(request, [self, request, on_done, ticket](const stage_result& result) {
-            self->record_stage(request.service, "own", result);
-            if (!result && result.error() == relay::piece_failure::scheduler_stopping) {
-                asio::co_spawn(
-                    self->strand_,
-                    [self, request, on_done, ticket]() {
-                        return self->submit_with_failover(request, on_done, ticket);
-                    },
-                    asio::detached);
-                return;
-            }
-            on_done(result);
-        });
-    ticket->abort = [self, stage]() { self->pool_.cancel(stage); };
+}
+
+bool piece_router::try_spend_budget(const stage_request& request) {
+    const std::shared_ptr<const relay_serving_state> serving = shared_.relay->serving.read();
+    const auto budget = serving->resend_budgets.find(request.service);
+    if (budget == serving->resend_budgets.end()) {
+        return false;
+    }
+    for (std::size_t piece = 0; piece < request.order.pieces; ++piece) {
+        if (!budget->second->try_spend(now(), shared_.relay->live_daemons.load())) {
+            return false;
+        }
+    }
+    return true;
 }
 
 void piece_router::record_stage(const base::service_name& service, std::string_view scheduler,
@@ -129,79 +189,111 @@
     shared_.metrics.record_stage(service, scheduler, result ? "made" : base::to_name(result.error()));
 }
 
-asio::awaitable<void> piece_router::cancel_when_lost(peer::member_record scheduler,
-                                                     std::shared_ptr<exchange_handle> handle) {
+asio::awaitable<void> piece_router::watch_scheduler(peer::member_record scheduler,
+                                                    std::shared_ptr<exchange_handle> handle,
+                                                    std::shared_ptr<stage_submission> stage) {
     const std::shared_ptr<piece_router> self = shared_from_this();
     asio::steady_timer timer(strand_);
+    bool replaced = false;
     while (!handle->finished) {
         timer.expires_after(liveness_check_interval);
         boost::system::error_code ec;
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
         const std::shared_ptr<const member_view> view = shared_.members.read();
-        const bool is_live = std::ranges::any_of(view->members, [&scheduler](const peer::member_record& row) {
-            return row.id == scheduler.id && row.status == peer::member_status::live;
-        });
-        if (!is_live) {
+        const auto member = std::ranges::find(view->members, scheduler.id, &peer::member_record::id);
+        const bool is_gone = member == view->members.end() || member->status == peer::member_status::gone;
+        if (is_gone && !handle->finished) {
             handle->cancel();
             co_return;
         }
+        const bool is_suspect = !is_gone && member->status == peer::member_status::suspect;
+        if (is_suspect && !replaced && !handle->finished) {
+            replaced = true;
+            replace_scheduler(scheduler, stage);
+        }
+    }
+}
+
+void piece_router::replace_scheduler(const peer::member_record& scheduler,
+                                     const std::shared_ptr<stage_submission>& stage) {
+    const bool allowed = try_spend_budget(stage->request);
+    telemetry::log(telemetry::log_event::piece_scheduler_suspected,
+                   {{"request", stage->request.order.request.text()},
+                    {"service", stage->request.service.text()},
+                    {"scheduler", scheduler.vm.text()},
+                    {"pieces", std::to_string(stage->request.order.pieces)},
+                    {"replacement", allowed ? "begun" : "no_budget"}});
+    if (!allowed) {
+        return;
     }
+    shared_.metrics.record_scheduler_failover(stage->request.service);
+    const std::shared_ptr<piece_router> self = shared_from_this();
+    asio::co_spawn(
+        strand_, [self, stage]() { return self->submit_with_failover(stage); }, asio::detached);
 }
 
 asio::awaitable<bool> piece_router::submit_to_peer(peer::member_record scheduler,
-                                                   const stage_request& request, const stage_handler& on_done,
-                                                   std::shared_ptr<exchange_handle> ticket) {
+                                                   std::shared_ptr<stage_submission> stage) {
     const std::shared_ptr<piece_router> self = shared_from_this();
+    const stage_request& request = stage->request;
     const base::time_point time = now();
     peer::make_pieces pieces_request{request.service, request.order, request.preferred_domain,
                                      milliseconds_until(request.target_start, time),
                                      milliseconds_until(request.latest_start, time)};
     peer::frame message = std::move(pieces_request);
     const std::shared_ptr<exchange_handle> handle = std::make_shared<exchange_handle>();
+    stage->exchanges.push_back(handle);
     asio::co_spawn(
-        strand_, [self, scheduler, handle]() { return self->cancel_when_lost(scheduler, handle); },
+        strand_,
+        [self, scheduler, handle, stage]() { return self->watch_scheduler(scheduler, handle, stage); },
         asio::detached);
-    ticket->abort = [handle]() { handle->cancel(); };
     const base::duration timeout = request.latest_start - time + exchange_timeout_margin;
     const base::result<peer::frame> response =
         co_await transport_.exchange_with_ack(scheduler.peer_address, std::move(message), timeout, handle);
     handle->finished = true;
-    ticket->abort = nullptr;
+    std::erase(stage->exchanges, handle);
     const peer::pieces_made* const made = response ? std::get_if<peer::pieces_made>(&*response) : nullptr;
-    if (made == nullptr && ticket->cancelled) {
-        co_return true;
+    if (made != nullptr) {
+        co_return handle_answer(stage, *made);
     }
-    if (made == nullptr && now() >= request.latest_start) {
-        on_done(tl::unexpected(relay::piece_failure::deadline_exceeded));
+    if (stage->ended || stage->ticket->cancelled) {
         co_return true;
     }
-    if (made == nullptr) {
-        telemetry::log(
-            telemetry::log_event::piece_scheduler_unreachable,
-            {{"request", request.order.request.text()},
-             {"service", request.service.text()},
-             {"scheduler", scheduler.vm.text()},
-             {"took_ms", std::to_string(base::to_milliseconds(now() - time))},
-             {"detail", response ? "the response has an unexpected type" : response.error().message}});
-        co_return false;
+    if (now() >= request.latest_start) {
+        finish(stage, tl::unexpected(relay::piece_failure::deadline_exceeded));
+        co_return true;
     }
+    telemetry::log(telemetry::log_event::piece_scheduler_unreachable,
+                   {{"request", request.order.request.text()},
+                    {"service", request.service.text()},
+                    {"scheduler", scheduler.vm.text()},
+                    {"took_ms", std::to_string(base::to_milliseconds(now() - time))},
+                    {"detail", response ? "the response has an unexpected type" : response.error().message}});
+    co_return false;
+}
+
+bool piece_router::handle_answer(const std::shared_ptr<stage_submission>& stage,
+                                 const peer::pieces_made& made) {
+    stage_result result = tl::unexpected(relay::piece_failure::failed);
     std::vector<std::string> handles;
-    for (const relay::piece_result& result : made->results) {
-        if (!result.handle && result.failure == relay::piece_failure::scheduler_stopping) {
-            co_return false;
+    for (const relay::piece_result& piece : made.results) {
+        if (!piece.handle && piece.failure == relay::piece_failure::scheduler_stopping) {
+            return false;
         }
-        if (!result.handle) {
-            on_done(tl::unexpected(result.failure));
-            co_return true;
+        if (!piece.handle) {
+            result = tl::unexpected(piece.failure);
+            break;
         }
-        handles.push_back(*result.handle);
+        handles.push_back(*piece.handle);
     }
-    if (handles.size() != request.order.pieces) {
-        on_done(tl::unexpected(relay::piece_failure::failed));
-        co_return true;
+    if (handles.size() == stage->request.order.pieces) {
+        result = std::move(handles);
+    }
+    if (!stage->ended) {
+        record_stage(stage->request.service, "peer", result);
     }
-    on_done(handles);
-    co_return true;
+    finish(stage, result);
+    return true;
 }
 
 void piece_router::release(base::service_name service, std::vector<std::string> handles) {
