Let a few daemons of each failure domain read the store for the others

Three daemons of a failure domain read without delay and tell the others of its changes in datagrams; the others make their watches with stale_ok, at a tenth of the price. An update names the revision that it continues, so that a receiver finds a gap and reads the list. Documents come from the daemon that announced them, without the rest of its state. The role follows the live members. The entry list of starting daemons is read with stale_ok.

Tests: object_api_tests/vm_list_update (model of stores, readers and followers with lost, repeated and reordered updates and stale watches; 3,000 histories), membership_tests/store_readers, platform_adapter_tests/store_readers (silent stale watches, lost readers, lost history).

--- a/packages/daemon/src/control.cpp
+++ b/packages/daemon/src/control.cpp
@@ -196,6 +196,8 @@
         if (limit_exchange_) {
             limit_exchange_->receive(*limit);
         }
+    } else if (const peer::vm_list_notice* notice = std::get_if<peer::vm_list_notice>(&message)) {
+        state_->apply_vm_list_update(notice->update);
     } else {
         members_->receive(from, std::move(message));
     }
--- a/packages/daemon/src/daemon_registry.cpp
+++ b/packages/daemon/src/daemon_registry.cpp
@@ -97,7 +97,8 @@
 asio::awaitable<void> daemon_registry::run() {
     co_await register_self();
     while (true) {
-        const object_api::list_objects request{std::string(registry_kind)};
+        // An entry that is missed leads to a daemon that others know.
+        const object_api::list_objects request{std::string(registry_kind), true};
         const object_api::answer answer = co_await platform_.call(request);
         if (const object_api::object_list* list = std::get_if<object_api::object_list>(&answer)) {
             for (const object_api::object_list::row& row : list->objects) {
--- a/packages/daemon/src/document_synchronizer.cpp
+++ b/packages/daemon/src/document_synchronizer.cpp
@@ -47,10 +47,12 @@
 } // namespace
 
 document_synchronizer::document_synchronizer(shared_state& shared, control_strand strand,
-                                             platform_session& platform, handlers callbacks)
+                                             platform_session& platform, const store_role& role,
+                                             handlers callbacks)
     : shared_(shared)
     , strand_(strand)
     , platform_(platform)
+    , role_(role)
     , handlers_(std::move(callbacks))
     , random_(shared.next_seed())
     , loaded_(strand, asio::steady_timer::time_point::max()) {}
@@ -91,7 +93,9 @@
     watch_failures failures;
     while (generation == watch_generation_) {
         const object_api::object_key key = config::document_object::key(shared_.settings.environment);
-        const object_api::watch_object request{key, watched_version_, failures.wait()};
+        // The first read shows what the daemon serves from, so it is never from an old state.
+        const bool may_be_stale = !role_.is_reader() && !watched_version_.is_unset();
+        const object_api::watch_object request{key, watched_version_, failures.wait(), may_be_stale};
         object_api::answer answer = co_await platform_.call(request);
         if (generation != watch_generation_) {
             co_return;
@@ -124,13 +128,17 @@
     while (true) {
         co_await platform_.sleep_about(read_interval());
         // A watch from version 0 returns immediately, also if the store's watches report no changes.
+        const bool is_reader = role_.is_reader();
         const object_api::watch_object request{
-            config::document_object::key(shared_.settings.environment), {}, {}};
+            config::document_object::key(shared_.settings.environment), {}, {}, !is_reader};
         object_api::answer answer = co_await platform_.call(request);
         if (object_api::object* object = std::get_if<object_api::object>(&answer)) {
             const object_api::store_revision store_version = object->store_version;
             co_await offer(std::move(object->value), "read", platform_.era());
-            co_await handlers_.on_store_version(store_version);
+            // What a follower's watch misses, the readers of its failure domain tell.
+            if (is_reader) {
+                co_await handlers_.on_store_version(store_version);
+            }
         }
     }
 }
@@ -170,7 +178,7 @@
 }
 
 asio::awaitable<void> document_synchronizer::fetch_wanted() {
-    if (!platform_.is_failing()) {
+    if (!platform_.is_failing() && role_.is_reader()) {
         co_await platform_.sleep_for(watch_head_start);
     }
     for (unsigned tries = 0; tries < max_fetches && adoption_.revision() < wanted_revision_; ++tries) {
--- a/packages/daemon/src/internal/document_synchronizer.hpp
+++ b/packages/daemon/src/internal/document_synchronizer.hpp
@@ -2,6 +2,7 @@
 
 #include "platform_session.hpp"
 #include "shared_state.hpp"
+#include "store_role.hpp"
 
 #include <rattanbay/config/adoption.hpp>
 #include <rattanbay/config/relay_document_builder.hpp>
@@ -37,10 +38,13 @@
     };
 
     document_synchronizer(shared_state& shared, control_strand strand, platform_session& platform,
-                          handlers callbacks);
+                          const store_role& role, handlers callbacks);
 
     void start();
 
+    /// Starts a new watch, as the daemon reads the store without delay from now on.
+    void begin_reading() { start_watch(); }
+
     std::uint64_t revision() const { return adoption_.revision(); }
 
     /// Highest revision that another daemon has announced.
@@ -101,6 +105,7 @@
     shared_state& shared_;
     control_strand strand_;
     platform_session& platform_;
+    const store_role& role_;
     handlers handlers_;
     config::document_adoption adoption_;
     base::random_source random_;
--- a/packages/daemon/src/internal/peer_transport.hpp
+++ b/packages/daemon/src/internal/peer_transport.hpp
@@ -71,6 +71,9 @@
     /// Sends a datagram; its loss is not reported.
     void send(const base::address& to, const peer::datagram& message);
 
+    /// Sends the same datagram to several daemons.
+    void send(const std::vector<base::address>& to, const peer::datagram& message);
+
     /// Sends a frame on a new connection and waits for the reply. `connection_refused` and `timed_out` while
     /// connecting mean that nothing was sent.
     asio::awaitable<base::result<peer::frame>> exchange(base::address to, peer::frame message,
@@ -100,6 +103,7 @@
         std::chrono::steady_clock::time_point idle_since;
     };
 
+    void send_bytes(const base::address& to, const std::string& bytes);
     stream_ptr take_pooled(const base::address& to);
     asio::awaitable<base::result<stream_ptr>> connect(base::address to, base::duration timeout);
     asio::awaitable<base::result<peer::frame>>
--- a/packages/daemon/src/internal/state_synchronizer.hpp
+++ b/packages/daemon/src/internal/state_synchronizer.hpp
@@ -5,6 +5,7 @@
 #include "peer_transport.hpp"
 #include "platform_session.hpp"
 #include "shared_state.hpp"
+#include "store_role.hpp"
 #include "vm_list_synchronizer.hpp"
 
 #include <boost/asio/awaitable.hpp>
@@ -32,6 +33,9 @@
     /// See `vm_list_synchronizer::catch_up`.
     void catch_up_vms(const object_api::store_revision& change_version);
 
+    /// See `vm_list_synchronizer::apply_peer_update`.
+    void apply_vm_list_update(const object_api::vm_list_update& update) { vms_->apply_peer_update(update); }
+
     /// Version of the newest known change of the VM list.
     const object_api::store_revision& newest_vm_change() const { return vms_->newest_change(); }
 
@@ -50,14 +54,20 @@
 
 private:
     document_synchronizer::handlers document_handlers(revision_handler on_revision);
+    /// Tells the other daemons of the failure domain of changes of the VM list.
+    void send_vm_list_update(object_api::vm_list_update update);
+    /// Keeps the role up to date with the members.
+    asio::awaitable<void> watch_role();
     asio::awaitable<void> fetch_from_seeds();
-    asio::awaitable<bool> fetch_state_from(base::address peer_address, base::duration timeout);
+    asio::awaitable<bool> fetch_state_from(base::address peer_address, base::duration timeout,
+                                           bool document_only = false);
 
     shared_state& shared_;
     control_strand strand_;
     peer_transport& transport_;
     members_handler on_members_;
     platform_session platform_;
+    store_role role_;
     std::shared_ptr<vm_list_synchronizer> vms_;
     std::shared_ptr<document_synchronizer> documents_;
     std::shared_ptr<daemon_registry> registry_;
--- a/packages/daemon/src/peer_transport.cpp
+++ b/packages/daemon/src/peer_transport.cpp
@@ -155,7 +155,17 @@
 }
 
 void peer_transport::send(const base::address& to, const peer::datagram& message) {
+    send_bytes(to, peer::encode(message, shared_.settings.cluster_secret));
+}
+
+void peer_transport::send(const std::vector<base::address>& to, const peer::datagram& message) {
     const std::string bytes = peer::encode(message, shared_.settings.cluster_secret);
+    for (const base::address& address : to) {
+        send_bytes(address, bytes);
+    }
+}
+
+void peer_transport::send_bytes(const base::address& to, const std::string& bytes) {
     error_code ignored;
     udp_socket_.send_to(asio::buffer(bytes), udp::endpoint(asio::ip::make_address_v4(to.ip), to.port), 0,
                         ignored);
--- a/packages/daemon/src/piece_pool.cpp
+++ b/packages/daemon/src/piece_pool.cpp
@@ -351,7 +351,7 @@
         latest_start = std::max(latest_start, piece.latest_start);
     }
     const base::duration usual_time = queues_[service].call_timeout;
-    http::exchange_timeouts limits;
+    http::exchange_limits limits;
     limits.response_header = latest_start - start + usual_time + max_silence;
     limits.body_read = limits.response_header;
     limits.memory = &relay_.responses;
@@ -421,15 +421,15 @@
     if (header.retry_after) {
         queues_[service].scheduler.pause(batch.endpoint.id, now() + *header.retry_after);
     }
-    if (header.not_run) {
-        return relay::attempt_result::declined;
-    }
     constexpr int status_ok = 200;
     if (header.not_run || response->status != status_ok) {
         distrust_connections(batch, "");
         return header.not_run ? relay::attempt_result::declined : relay::attempt_result::broken;
     }
     const base::result<std::vector<relay::piece_result>> results =
+        relay_.protocol->read_piece_results(response->body, batch.pieces.size());
+    if (!results) {
+        detail = results.error().message;
         distrust_connections(batch, detail);
         return relay::attempt_result::broken;
     }
@@ -437,13 +437,10 @@
     if (origin == relay::answer_origin::earlier_call) {
         detail = "the answer has results of an earlier call";
         distrust_connections(batch, detail);
-        relay_.protocol->read_piece_results(response->body, batch.pieces.size());
-    if (!results) {
+        return relay::attempt_result::broken;
+    }
     if (origin == relay::answer_origin::unknown) {
         distrust_connections(batch, "");
-    }
-        detail = results.error().message;
-        return relay::attempt_result::broken;
     }
     handle_results(service, batch, *results, held);
     return relay::attempt_result::answered;
@@ -482,6 +479,9 @@
     if (!unneeded.empty()) {
         metrics_.add_unused_results(service, unneeded.size());
         release(service, unneeded);
+    }
+}
+
 void piece_pool::distrust_connections(const relay::piece_batch& batch, std::string_view detail) {
     relay_.pool.close_idle(batch.endpoint.address);
     if (!detail.empty()) {
@@ -492,9 +492,6 @@
     }
 }
 
-    }
-}
-
 bool piece_pool::try_spend_budget(const base::service_name& service) {
     const std::shared_ptr<const relay_serving_state> serving = relay_.serving.read();
     const auto budget = serving->resend_budgets.find(service);
@@ -600,14 +597,16 @@
 }
 
 asio::awaitable<void> piece_pool::send_release(base::address holder, std::vector<std::string> handles) {
-    http::exchange_timeouts limits;
+    http::exchange_limits limits;
     limits.response_header = release_timeout;
+    limits.memory = &relay_.responses;
     http::request message = relay_.protocol->write_release_request(handles);
     const base::result<http::response> response =
         co_await http::exchange(strand_, release_connections_, holder, std::move(message), limits);
     --open_releases_;
     if (!response) {
         // The holder frees the results itself when their lifetime ends.
+        record_oversized_response(metrics_, "endpoint", holder.text(), "", response.error());
         telemetry::log(telemetry::log_event::piece_call_failed, {{"endpoint_address", holder.text()},
                                                                  {"released", std::to_string(handles.size())},
                                                                  {"detail", response.error().message}});
@@ -615,5 +614,3 @@
 }
 
 } // namespace rattanbay::daemon::internal
-    limits.memory = &relay_.responses;
-        record_oversized_response(metrics_, "endpoint", holder.text(), "", response.error());
--- a/packages/daemon/src/state_synchronizer.cpp
+++ b/packages/daemon/src/state_synchronizer.cpp
@@ -2,6 +2,9 @@
 
 #include "internal/clock.hpp"
 
+#include <rattanbay/membership.hpp>
+#include <rattanbay/peer/codec.hpp>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -14,6 +17,7 @@
 constexpr std::chrono::milliseconds min_seed_retry_interval{500};
 constexpr std::chrono::seconds max_seed_retry_interval{10};
 constexpr std::chrono::seconds peer_timeout{2};
+constexpr std::chrono::milliseconds role_check_interval{250};
 
 } // namespace
 
@@ -25,8 +29,11 @@
     , transport_(transport)
     , on_members_(std::move(on_members))
     , platform_(platform, strand, shared.next_seed(), [this]() { vms_->platform_recovered(); })
-    , vms_(std::make_shared<vm_list_synchronizer>(shared, strand, platform_))
-    , documents_(std::make_shared<document_synchronizer>(shared, strand, platform_,
+    , role_(shared)
+    , vms_(std::make_shared<vm_list_synchronizer>(
+          shared, strand, platform_, role_,
+          [this](object_api::vm_list_update update) { send_vm_list_update(std::move(update)); }))
+    , documents_(std::make_shared<document_synchronizer>(shared, strand, platform_, role_,
                                                          document_handlers(std::move(on_revision))))
     , registry_(std::make_shared<daemon_registry>(shared, strand, platform_,
                                                   [this](base::address other) -> asio::awaitable<void> {
@@ -45,7 +52,7 @@
         return vms_->read_missed(version);
     };
     out.fetch_state = [this](base::address peer_address, base::duration timeout) {
-        return fetch_state_from(peer_address, timeout);
+        return fetch_state_from(peer_address, timeout, true);
     };
     return out;
 }
@@ -54,6 +61,12 @@
     const std::shared_ptr<state_synchronizer> self = shared_from_this();
     documents_->start();
     vms_->start();
+    role_.on_reading([this]() {
+        vms_->begin_reading();
+        documents_->begin_reading();
+    });
+    asio::co_spawn(
+        strand_, [self]() { return self->watch_role(); }, asio::detached);
     asio::co_spawn(
         strand_, [self]() { return self->fetch_from_seeds(); }, asio::detached);
     if (shared_.relay) {
@@ -61,6 +74,27 @@
     }
 }
 
+void state_synchronizer::send_vm_list_update(object_api::vm_list_update update) {
+    const std::vector<base::address> neighbours =
+        membership::domain_neighbours(shared_.members.read()->members, shared_.id);
+    peer::datagram message = peer::vm_list_notice{std::move(update)};
+    if (peer::encode(message, shared_.settings.cluster_secret).size() > peer::max_datagram_bytes) {
+        // The others read the list instead.
+        object_api::vm_changes& changes = std::get<peer::vm_list_notice>(message).update.changes;
+        changes.changed.clear();
+        changes.removed.clear();
+    }
+    transport_.send(neighbours, message);
+}
+
+asio::awaitable<void> state_synchronizer::watch_role() {
+    const std::shared_ptr<state_synchronizer> self = shared_from_this();
+    while (true) {
+        co_await platform_.sleep_for(role_check_interval);
+        role_.refresh();
+    }
+}
+
 void state_synchronizer::catch_up_document(std::uint64_t revision, const base::address& peer_address) {
     documents_->catch_up(revision, peer_address);
 }
@@ -77,6 +111,9 @@
     } else if (documents_->revision() > request.revision) {
         reply.document = documents_->serialized();
     }
+    if (request.document_only) {
+        co_return peer::frame(std::move(reply));
+    }
     reply.vms = *shared_.vms.read();
     reply.members = std::move(members);
     if (shared_.relay) {
@@ -115,10 +152,10 @@
     }
 }
 
-asio::awaitable<bool> state_synchronizer::fetch_state_from(base::address peer_address,
-                                                           base::duration timeout) {
+asio::awaitable<bool> state_synchronizer::fetch_state_from(base::address peer_address, base::duration timeout,
+                                                           bool document_only) {
     const base::time_point start = now();
-    const peer::frame request = peer::state_request{documents_->revision(), true};
+    const peer::frame request = peer::state_request{documents_->revision(), true, document_only};
     base::result<peer::frame> answer = co_await transport_.exchange(peer_address, request, timeout);
     peer::state_reply* const reply = answer ? std::get_if<peer::state_reply>(&*answer) : nullptr;
     telemetry::log(
--- a/packages/daemon/src/vm_list_synchronizer.cpp
+++ b/packages/daemon/src/vm_list_synchronizer.cpp
@@ -13,6 +13,8 @@
 /// Delay before the next watch after a change. Changes often come in bursts, for example when a service is
 /// replaced, and each one would complete every daemon's watch.
 constexpr std::chrono::milliseconds watch_delay{200};
+/// The same for a daemon that other daemons tell of changes. Its watch finds what these did not tell.
+constexpr std::chrono::seconds follower_watch_delay{4};
 /// Time by which a watch may lag behind a read.
 constexpr std::chrono::milliseconds max_watch_lag{400};
 /// Interval of the check for expired entries whose grace period has ended.
@@ -23,10 +25,13 @@
 } // namespace
 
 vm_list_synchronizer::vm_list_synchronizer(shared_state& shared, control_strand strand,
-                                           platform_session& platform)
+                                           platform_session& platform, const store_role& role,
+                                           update_sender send_update)
     : shared_(shared)
     , strand_(strand)
     , platform_(platform)
+    , role_(role)
+    , send_update_(std::move(send_update))
     , publisher_(shared)
     , directory_(shared.settings.relay ? shared.settings.relay->relisting_grace_period : base::duration{}) {}
 
@@ -106,7 +111,8 @@
     watch_failures failures;
     while (generation == watch_generation_) {
         const object_api::store_revision asked_at = directory_.version();
-        object_api::call request = object_api::watch_vms{asked_at, failures.wait()};
+        const bool is_reader = role_.is_reader();
+        object_api::call request = object_api::watch_vms{asked_at, failures.wait(), !is_reader};
         if (directory_.next_page_after()) {
             request = object_api::list_vms{*directory_.next_page_after()};
         }
@@ -117,7 +123,7 @@
         if (failures.last_failed()) {
             co_await platform_.back_off("watch_vms", failures.count(), answer);
         } else if (std::holds_alternative<object_api::vm_changes>(answer)) {
-            co_await platform_.sleep_for(watch_delay);
+            co_await platform_.sleep_for(is_reader ? base::duration(watch_delay) : follower_watch_delay);
         }
     }
 }
@@ -146,6 +152,7 @@
 
 void vm_list_synchronizer::apply(const object_api::answer& answer,
                                  const object_api::store_revision& asked_at) {
+    const object_api::store_revision before = directory_.version();
     const std::optional<vm_list_source> source = vm_list_source_of(answer, directory_.version());
     if (source) {
         publisher_.record_answer(*source, directory_.version(),
@@ -177,6 +184,31 @@
         return;
     }
     publisher_.publish(directory_.list(), *source);
+    forward(std::get_if<object_api::vm_changes>(&answer), before);
+}
+
+void vm_list_synchronizer::forward(const object_api::vm_changes* changes,
+                                   const object_api::store_revision& before) {
+    std::optional<object_api::vm_list_update> update = updates_.record(directory_, before, changes);
+    if (update && role_.is_reader()) {
+        send_update_(std::move(*update));
+    }
+}
+
+void vm_list_synchronizer::apply_peer_update(const object_api::vm_list_update& update) {
+    const object_api::update_decision decision = object_api::vm_update_tracker::decide(update, directory_);
+    if (decision == object_api::update_decision::read_list) {
+        catch_up(update.changes.newest_change);
+    }
+    if (decision != object_api::update_decision::apply) {
+        return;
+    }
+    const object_api::store_revision before = directory_.version();
+    directory_.apply(update.changes, now());
+    updates_.record(directory_, before, &update.changes);
+    const vm_list_source source{"peer", update.changes.version};
+    publisher_.record_answer(source, before, false);
+    publisher_.publish(directory_.list(), source);
 }
 
 void vm_list_synchronizer::apply_peer_list(const object_api::vm_list& list) {
--- a/packages/membership/include/rattanbay/membership.hpp
+++ b/packages/membership/include/rattanbay/membership.hpp
@@ -9,6 +9,7 @@
 /// - pool_plan.hpp: division of a worker pool among the daemons that schedule it
 /// - pool_shard.hpp: endpoints of a worker pool that one daemon schedules
 /// - scheduler_selection.hpp: unweighted selection of daemons for small roles
+/// - store_readers.hpp: selection of the daemons that read the platform's store without delay
 
 #include <rattanbay/membership/detector.hpp>
 #include <rattanbay/membership/eligibility.hpp>
@@ -16,3 +17,4 @@
 #include <rattanbay/membership/pool_plan.hpp>
 #include <rattanbay/membership/pool_shard.hpp>
 #include <rattanbay/membership/scheduler_selection.hpp>
+#include <rattanbay/membership/store_readers.hpp>
--- a/packages/membership/src/detector.cpp
+++ b/packages/membership/src/detector.cpp
@@ -164,13 +164,15 @@
         send(message.target, peer::ping{nonce, self_, {}});
     }
 
-    // The messages about prompt parts tell nothing about members.
+    // The messages about endpoints tell nothing about members.
     void on_message(const peer::crash_report&, const base::address&) {}
 
     void on_message(const peer::part_clearance&, const base::address&) {}
 
     void on_message(const peer::limit_report&, const base::address&) {}
 
+    void on_message(const peer::vm_list_notice&, const base::address&) {}
+
     void merge_updates(const peer::member_record& sender, const std::vector<peer::member_record>& updates) {
         if (sender.id != self_.id) {
             mark_predecessor_gone(sender);
--- a/packages/object_api/include/rattanbay/object_api.hpp
+++ b/packages/object_api/include/rattanbay/object_api.hpp
@@ -9,6 +9,7 @@
 /// - store_revision.hpp: positions in the history of the platform's store
 /// - vm_list.hpp: the list of live and leaving VMs
 /// - vm_list_diff.hpp: differences between two lists
+/// - vm_list_update.hpp: changes that daemons tell each other
 
 #include <rattanbay/object_api/answer.hpp>
 #include <rattanbay/object_api/call.hpp>
@@ -16,3 +17,4 @@
 #include <rattanbay/object_api/store_revision.hpp>
 #include <rattanbay/object_api/vm_list.hpp>
 #include <rattanbay/object_api/vm_list_diff.hpp>
+#include <rattanbay/object_api/vm_list_update.hpp>
--- a/packages/object_api/include/rattanbay/object_api/call.hpp
+++ b/packages/object_api/include/rattanbay/object_api/call.hpp
@@ -44,6 +44,8 @@
 /// Lists the objects of a kind; answered by `object_list` or `failed`.
 struct list_objects {
     std::string kind;
+    /// Whether the answer may show an older state of the store, which some platforms offer at a lower price.
+    bool may_be_stale = false;
 };
 
 /// Waits until an object changes after the revision `after`; answered by `object`, `unchanged`,
@@ -52,6 +54,7 @@
     object_key key;
     store_revision after{};
     base::duration wait{};
+    bool may_be_stale = false;
 };
 
 /// Reads the VM list or a page of it; answered by `vm_list`, `vm_page` or `failed`.
@@ -65,6 +68,7 @@
 struct watch_vms {
     store_revision after{};
     base::duration wait{};
+    bool may_be_stale = false;
 };
 
 using call =
--- a/packages/peer/include/rattanbay/peer/datagram.hpp
+++ b/packages/peer/include/rattanbay/peer/datagram.hpp
@@ -2,6 +2,7 @@
 
 #include <rattanbay/base/address.hpp>
 #include <rattanbay/base/identifier.hpp>
+#include <rattanbay/object_api/vm_list_update.hpp>
 #include <rattanbay/peer/member_record.hpp>
 
 #include <cstdint>
@@ -54,6 +55,12 @@
     std::optional<double> requests_per_second;
 };
 
-using datagram = std::variant<ping, ack, indirect_ping, crash_report, part_clearance, limit_report>;
+/// Tells the other daemons of a failure domain of changes of the VM list.
+struct vm_list_notice {
+    object_api::vm_list_update update;
+};
+
+using datagram =
+    std::variant<ping, ack, indirect_ping, crash_report, part_clearance, limit_report, vm_list_notice>;
 
 } // namespace rattanbay::peer
--- a/packages/peer/include/rattanbay/peer/frame.hpp
+++ b/packages/peer/include/rattanbay/peer/frame.hpp
@@ -21,6 +21,8 @@
     std::uint64_t revision = 0;
     /// Whether the sender reads `state_reply::compressed_document`.
     bool accepts_compression = false;
+    /// Whether the reply may leave out all but the document.
+    bool document_only = false;
 };
 
 /// Reply to a `state_request`.
--- a/packages/peer/src/codec.cpp
+++ b/packages/peer/src/codec.cpp
@@ -3,6 +3,8 @@
 #include <rattanbay/base/hash.hpp>
 #include <rattanbay/peer/codec.hpp>
 
+#include <array>
+
 namespace rattanbay::peer {
 
 namespace {
@@ -48,8 +50,16 @@
 
     void operator()(const part_clearance& message) const { internal::pack_fields(out, message.parts); }
 
+    void operator()(const vm_list_notice& message) const {
+        const object_api::store_revision& after = message.update.after;
+        const object_api::vm_changes& changes = message.update.changes;
+        internal::pack_fields(out, after.era(), after.number(), changes.version.era(),
+                              changes.version.number(), changes.newest_change.era(),
+                              changes.newest_change.number(), changes.changed, changes.removed);
+    }
+
     void operator()(const state_request& message) const {
-        internal::pack_fields(out, message.revision, message.accepts_compression);
+        internal::pack_fields(out, message.revision, message.accepts_compression, message.document_only);
     }
 
     void operator()(const state_reply& message) const {
@@ -108,9 +118,21 @@
 
     void operator()(part_clearance& message) const { internal::unpack_fields(from, message.parts); }
 
+    void operator()(vm_list_notice& message) const {
+        object_api::vm_changes& changes = message.update.changes;
+        std::array<std::uint64_t, 3> eras{};
+        std::array<std::uint64_t, 3> numbers{};
+        internal::unpack_fields(from, eras[0], numbers[0], eras[1], numbers[1], eras[2], numbers[2],
+                                changes.changed, changes.removed);
+        message.update.after = object_api::store_revision(eras[0], numbers[0]);
+        changes.version = object_api::store_revision(eras[1], numbers[1]);
+        changes.newest_change = object_api::store_revision(eras[2], numbers[2]);
+    }
+
     void operator()(state_request& message) const {
         internal::unpack_fields(from, message.revision);
         internal::unpack_optional_field(from, 1, message.accepts_compression);
+        internal::unpack_optional_field(from, 2, message.document_only);
     }
 
     void operator()(state_reply& message) const {
--- a/packages/peer/src/internal/wire.hpp
+++ b/packages/peer/src/internal/wire.hpp
@@ -159,7 +159,7 @@
         packer<Stream>& operator()(packer<Stream>& out, const rattanbay::object_api::vm& value) const {
             const bool leaving = value.state == rattanbay::object_api::vm_state::leaving;
             wire::pack_fields(out, value.id, value.service, value.address, value.failure_domain, leaving,
-                              value.slots);
+                              value.slots, value.started_ms);
             return out;
         }
     };
@@ -170,6 +170,8 @@
             bool leaving = false;
             wire::unpack_fields(from, value.id, value.service, value.address, value.failure_domain, leaving,
                                 value.slots);
+            constexpr std::uint32_t started_ms_index = 6;
+            wire::unpack_optional_field(from, started_ms_index, value.started_ms);
             value.state =
                 leaving ? rattanbay::object_api::vm_state::leaving : rattanbay::object_api::vm_state::live;
             return from;
