Give clients that read streams whole the time of the whole body

Two tests of planned stops read streams of more than a second with the default of one second; their client gets 10 s, and the operators' command the time of its call.

--- a/packages/ctl/src/daemon_client.cpp
+++ b/packages/ctl/src/daemon_client.cpp
@@ -1,6 +1,8 @@
 #include <rattanbay/base/json.hpp>
 #include <rattanbay/ctl/daemon_client.hpp>
 
+#include <algorithm>
+
 namespace rattanbay::ctl {
 
 namespace {
@@ -137,6 +139,7 @@
     }
     http::exchange_limits limits;
     limits.response_header = head_timeout;
+    limits.body_read = std::max(limits.body_read, head_timeout);
     const base::result<http::response> response = io_.exchange(address_, message, limits);
     if (!response) {
         return tl::unexpected<base::error>(response.error());
--- a/packages/daemon/test/test_cluster.hpp
+++ b/packages/daemon/test/test_cluster.hpp
@@ -108,6 +108,8 @@
                                                                 rattanbay::http::request message) {
         rattanbay::http::exchange_limits limits;
         limits.response_header = std::chrono::seconds(10);
+        // Some responses are streams that take seconds.
+        limits.body_read = std::chrono::seconds(10);
         return boost::asio::co_spawn(
                    context_,
                    rattanbay::http::exchange_once(context_.get_executor(), to, std::move(message), limits),
