--- a/packages/daemon/src/piece_pool.cpp
+++ b/packages/daemon/src/piece_pool.cpp
@@ -1,6 +1,7 @@
 #include "internal/piece_pool.hpp"
 
 #include "internal/clock.hpp"
+#include "internal/oversized_response.hpp"
 
 #include <rattanbay/telemetry.hpp>
 
@@ -350,9 +351,10 @@
         latest_start = std::max(latest_start, piece.latest_start);
     }
     const base::duration usual_time = queues_[service].call_timeout;
-    http::exchange_timeouts limits;
+    http::exchange_limits limits;
     limits.response_header = latest_start - start + usual_time + max_silence;
     limits.body_read = limits.response_header;
+    limits.memory = &relay_.responses;
     http::request message = relay_.protocol->write_piece_request(orders, batch.endpoint.id);
     // A call that was silent may still run, so it is not sent again on another connection.
     const http::send_condition is_available = [this, call]() {
@@ -406,6 +408,8 @@
                                                 std::string& detail, std::vector<relay::held_result>& held) {
     if (!response) {
         detail = response.error().message;
+        record_oversized_response(metrics_, "endpoint", batch.endpoint.id.text(),
+                                  batch.pieces.front().order.request.text(), response.error());
         const bool sent = response.error().code != base::error_code::connection_refused &&
                           response.error().code != base::error_code::unavailable;
         return sent ? relay::attempt_result::broken : relay::attempt_result::not_sent;
@@ -417,19 +421,27 @@
     if (header.retry_after) {
         queues_[service].scheduler.pause(batch.endpoint.id, now() + *header.retry_after);
     }
-    if (header.not_run) {
-        return relay::attempt_result::declined;
-    }
     constexpr int status_ok = 200;
-    if (response->status != status_ok) {
-        return relay::attempt_result::broken;
+    if (header.not_run || response->status != status_ok) {
+        distrust_connections(batch, "");
+        return header.not_run ? relay::attempt_result::declined : relay::attempt_result::broken;
     }
     const base::result<std::vector<relay::piece_result>> results =
         relay_.protocol->read_piece_results(response->body, batch.pieces.size());
     if (!results) {
         detail = results.error().message;
+        distrust_connections(batch, detail);
+        return relay::attempt_result::broken;
+    }
+    const relay::answer_origin origin = queues_[service].scheduler.origin_of(*results);
+    if (origin == relay::answer_origin::earlier_call) {
+        detail = "the answer has results of an earlier call";
+        distrust_connections(batch, detail);
         return relay::attempt_result::broken;
     }
+    if (origin == relay::answer_origin::unknown) {
+        distrust_connections(batch, "");
+    }
     handle_results(service, batch, *results, held);
     return relay::attempt_result::answered;
 }
@@ -470,6 +482,16 @@
     }
 }
 
+void piece_pool::distrust_connections(const relay::piece_batch& batch, std::string_view detail) {
+    relay_.pool.close_idle(batch.endpoint.address);
+    if (!detail.empty()) {
+        telemetry::log(telemetry::log_event::crossed_answer,
+                       {{"request", batch.pieces.front().order.request.text()},
+                        {"endpoint", batch.endpoint.id.text()},
+                        {"detail", std::string(detail)}});
+    }
+}
+
 bool piece_pool::try_spend_budget(const base::service_name& service) {
     const std::shared_ptr<const relay_serving_state> serving = relay_.serving.read();
     const auto budget = serving->resend_budgets.find(service);
@@ -575,14 +597,16 @@
 }
 
 asio::awaitable<void> piece_pool::send_release(base::address holder, std::vector<std::string> handles) {
-    http::exchange_timeouts limits;
+    http::exchange_limits limits;
     limits.response_header = release_timeout;
+    limits.memory = &relay_.responses;
     http::request message = relay_.protocol->write_release_request(handles);
     const base::result<http::response> response =
-        co_await http::exchange(strand_, relay_.pool, holder, std::move(message), limits);
+        co_await http::exchange(strand_, release_connections_, holder, std::move(message), limits);
     --open_releases_;
     if (!response) {
         // The holder frees the results itself when their lifetime ends.
+        record_oversized_response(metrics_, "endpoint", holder.text(), "", response.error());
         telemetry::log(telemetry::log_event::piece_call_failed, {{"endpoint_address", holder.text()},
                                                                  {"released", std::to_string(handles.size())},
                                                                  {"detail", response.error().message}});
--- a/packages/daemon/src/relay_result.cpp
+++ b/packages/daemon/src/relay_result.cpp
@@ -1,4 +1,5 @@
 #include "internal/clock.hpp"
+#include "internal/oversized_response.hpp"
 #include "internal/relay_run.hpp"
 
 #include <boost/asio/use_awaitable.hpp>
@@ -30,6 +31,10 @@
     if (result == relay::attempt_result::broken && !current.first_byte && !shared_parts_.empty()) {
         quarantine_->check_endpoint(current.endpoint, input_.request.id, shared_parts_);
     }
+    if (current.oversized) {
+        record_oversized_response(shared_.metrics, "endpoint", current.endpoint.id.text(),
+                                  input_.request.id.text(), *current.oversized);
+    }
     if (result != relay::attempt_result::answered) {
         telemetry::log(telemetry::log_event::relay_attempt_failed,
                        {{"request", input_.request.id.text()},
@@ -46,8 +51,8 @@
 }
 
 base::duration relay_run::retry_delay() {
-    const base::duration scaled =
-        std::chrono::duration_cast<base::duration>(remaining_time() * retry_delay_fraction);
+    const base::duration left = std::max(base::duration::zero(), deadline_ - now());
+    const base::duration scaled = std::chrono::duration_cast<base::duration>(left * retry_delay_fraction);
     const base::duration max_delay = std::clamp<base::duration>(scaled, min_retry_delay, max_retry_delay);
     const double jitter = 0.5 + random_.unit() / 2;
     return std::chrono::duration_cast<base::duration>(max_delay * jitter);
--- a/packages/daemon/test/test_cluster.hpp
+++ b/packages/daemon/test/test_cluster.hpp
@@ -106,8 +106,10 @@
     /// Sends a request to an address on a new connection and returns the response.
     rattanbay::base::result<rattanbay::http::response> exchange(const rattanbay::base::address& to,
                                                                 rattanbay::http::request message) {
-        rattanbay::http::exchange_timeouts limits;
+        rattanbay::http::exchange_limits limits;
         limits.response_header = std::chrono::seconds(10);
+        // Some responses are streams that take seconds.
+        limits.body_read = std::chrono::seconds(10);
         return boost::asio::co_spawn(
                    context_,
                    rattanbay::http::exchange_once(context_.get_executor(), to, std::move(message), limits),
@@ -288,7 +290,7 @@
         platform = rattanbay::emulator::platform_service::start(context_, options).value();
         platform_client_.emplace(std::vector<rattanbay::base::address>{options.address},
                                  std::make_shared<rattanbay::object_api::object_protocol>(),
-                                 [](std::string_view, bool) {});
+                                 [](std::string_view, bool, const rattanbay::base::error*) {});
     }
 
     void start_endpoints() {
