--- a/packages/config/test/relay_document_test.cpp
+++ b/packages/config/test/relay_document_test.cpp
@@ -25,7 +25,7 @@
         "routes": [
           {"name": "draft", "host": "one.example", "path_prefix": "/draft/", "repeat": "resumable",
            "streamed": true, "has_prompts": true, "timeout_ms": 5000, "objective_ms": 2000,
-           "longest_pause_ms": 300, "urgency": 1, "max_attempts": 2,
+           "longest_pause_ms": 300, "patience_ms": 8000, "urgency": 1, "max_attempts": 2,
            "targets": [{"service": "model", "weight": 1}],
            "stages": [{"service": "board", "after": [], "result_bytes": 8000},
                       {"service": "board", "after": [0], "result_bytes": 6000}]}],
@@ -52,6 +52,7 @@
     BOOST_CHECK(route.retry == config::retry_mode::resumable);
     BOOST_CHECK(route.latency_objective == std::chrono::seconds(2));
     BOOST_CHECK(route.max_event_gap == std::chrono::milliseconds(300));
+    BOOST_CHECK(route.client_patience == std::chrono::seconds(8));
     BOOST_TEST(route.max_attempts == 2U);
     BOOST_TEST(route.stages.at(1).depends_on.at(0) == 0U);
     const config::piece_limits& pieces = *relay.services.at(base::service_name("board")).pieces;
--- a/packages/config/test/settings_test.cpp
+++ b/packages/config/test/settings_test.cpp
@@ -82,6 +82,22 @@
     BOOST_TEST(!config::settings::parse(start + R"(, "processor": {"core_share": "half"}})").has_value());
 }
 
+// Guards against bounds on held responses that do not follow the memory of the VM, and against a memory with
+// which no daemon runs.
+BOOST_AUTO_TEST_CASE(the_memory_bounds_held_responses) {
+    constexpr std::size_t bytes_per_mb = 1024 * 1024;
+    const std::string start = complete_settings.substr(0, complete_settings.rfind('}'));
+    const config::validation_result<config::settings> read =
+        config::settings::parse(start + R"(, "memory_mb": 160})");
+    BOOST_REQUIRE_MESSAGE(read.has_value(), format_findings(read));
+    BOOST_TEST(read->max_held_response_bytes() == 20 * bytes_per_mb);
+    BOOST_TEST(read->max_response_bytes() == 10 * bytes_per_mb);
+    const config::validation_result<config::settings> small =
+        config::settings::parse(start + R"(, "memory_mb": 8})");
+    BOOST_REQUIRE(!small.has_value());
+    BOOST_TEST(small.error().front().pointer == "/memory_mb");
+}
+
 // Guards against a syntax error reported without its location.
 BOOST_AUTO_TEST_CASE(syntax_errors_have_line_and_column) {
     const config::validation_result<config::settings> read = config::settings::parse("{\n  \"vm\": }");
--- a/packages/peer/test/codec_test.cpp
+++ b/packages/peer/test/codec_test.cpp
@@ -139,6 +139,34 @@
     }
 }
 
+// Guards against a field of an update of the VM list being lost or swapped: a receiver would take its list
+// for complete although a change is missing.
+BOOST_AUTO_TEST_CASE(updates_of_the_vm_list_survive_the_wire) {
+    peer::vm_list_notice sent;
+    sent.update.after = {2, 31};
+    sent.update.changes.version = {2, 40};
+    sent.update.changes.newest_change = {2, 38};
+    object_api::vm changed;
+    changed.id = base::vm_id("e1");
+    changed.service = base::service_name("s");
+    changed.address = {{127, 0, 0, 1}, 80};
+    changed.failure_domain = base::failure_domain("b");
+    changed.state = object_api::vm_state::leaving;
+    changed.slots = 4;
+    changed.started_ms = 1234567890123;
+    sent.update.changes.changed = {changed};
+    sent.update.changes.removed = {base::vm_id("e2")};
+    const base::result<peer::datagram> read =
+        peer::decode_datagram(peer::encode(peer::datagram(sent), secret), secret);
+    BOOST_REQUIRE(read.has_value());
+    const object_api::vm_list_update& update = std::get<peer::vm_list_notice>(*read).update;
+    BOOST_CHECK(update.after == sent.update.after);
+    BOOST_CHECK(update.changes.version == sent.update.changes.version);
+    BOOST_CHECK(update.changes.newest_change == sent.update.changes.newest_change);
+    BOOST_CHECK(update.changes.changed == sent.update.changes.changed);
+    BOOST_CHECK(update.changes.removed == sent.update.changes.removed);
+}
+
 // Guards against a field of the messages about pieces being lost or swapped during encoding.
 BOOST_AUTO_TEST_CASE(messages_about_pieces_survive_the_wire) {
     peer::make_pieces sent;
--- a/packages/relay/test/rules_test.cpp
+++ b/packages/relay/test/rules_test.cpp
@@ -119,6 +119,27 @@
     BOOST_TEST(splitter.has_partial_event());
 }
 
+// Guards against time that grows with the square of an event's size, with which a faulty endpoint would hold the
+// thread. The end of an event may be divided between parts.
+BOOST_AUTO_TEST_CASE(a_large_event_in_small_parts_is_found) {
+    relay::event_splitter splitter;
+    constexpr std::size_t parts = 64 * 1024;
+    const std::string part(64, 'x');
+    for (std::size_t n = 0; n < parts; ++n) {
+        splitter.append(part);
+        BOOST_REQUIRE(!splitter.next().has_value());
+    }
+    BOOST_TEST(splitter.pending_bytes() == parts * part.size());
+    for (const char* const end : {"\n", "\r", "\n"}) {
+        BOOST_REQUIRE(!splitter.next().has_value());
+        splitter.append(end);
+    }
+    const std::optional<relay::stream_event> event = splitter.next();
+    BOOST_REQUIRE(event.has_value());
+    BOOST_TEST(event->bytes.size() == parts * part.size() + 3);
+    BOOST_TEST(splitter.pending_bytes() == 0U);
+}
+
 // Guards against an event without an id that gets the id of an earlier event.
 BOOST_AUTO_TEST_CASE(events_may_have_no_id) {
     relay::event_splitter splitter;
