Let starting daemons follow, and followers wait longer between failed watches

A daemon follows for its first second, in which it gets the members from its seeds. A follower waits up to 6 s between failed watches. A daemon that begins to read watches the document from where it is.

--- a/packages/daemon/src/document_synchronizer.cpp
+++ b/packages/daemon/src/document_synchronizer.cpp
@@ -65,10 +65,18 @@
         strand_, [self]() { return self->read_periodically(); }, asio::detached);
 }
 
+void document_synchronizer::begin_reading() {
+    replace_watch();
+}
+
 void document_synchronizer::start_watch() {
+    watched_version_ = {};
+    replace_watch();
+}
+
+void document_synchronizer::replace_watch() {
     const std::shared_ptr<document_synchronizer> self = shared_from_this();
     const std::uint64_t generation = ++watch_generation_;
-    watched_version_ = {};
     asio::co_spawn(
         strand_, [self, generation]() { return self->watch(generation); }, asio::detached);
 }
@@ -113,7 +121,7 @@
                             !std::holds_alternative<object_api::not_found>(answer);
         failures.record(usable);
         if (failures.last_failed()) {
-            co_await platform_.back_off("watch_document", failures.count(), answer);
+            co_await platform_.back_off("watch_document", failures.count(), answer, role_.max_backoff());
         }
     }
 }
--- a/packages/daemon/src/internal/document_synchronizer.hpp
+++ b/packages/daemon/src/internal/document_synchronizer.hpp
@@ -43,7 +43,7 @@
     void start();
 
     /// Starts a new watch, as the daemon reads the store without delay from now on.
-    void begin_reading() { start_watch(); }
+    void begin_reading();
 
     std::uint64_t revision() const { return adoption_.revision(); }
 
@@ -83,7 +83,10 @@
         std::uint64_t era = 0;
     };
 
+    /// Reads the document and watches it from then on.
     void start_watch();
+    /// Watches from the revision that was seen last, in place of the running watch.
+    void replace_watch();
     asio::awaitable<void> watch(std::uint64_t generation);
     /// Reads the document and watches it anew after the store came back from a copy, whose revisions are
     /// unrelated to those of the running watch.
--- a/packages/daemon/src/internal/store_role.hpp
+++ b/packages/daemon/src/internal/store_role.hpp
@@ -10,21 +10,26 @@
 /// domain, which tell it of changes. Runs on the control strand.
 class store_role {
 public:
-    explicit store_role(shared_state& shared);
+    store_role(shared_state& shared, base::time_point start);
 
     /// Sets the function that is called when the daemon begins to read the store without delay.
     void on_reading(std::function<void()> handler) { on_reading_ = std::move(handler); }
 
-    /// Decides by the current members.
-    void refresh();
+    /// Decides by the current members. A starting daemon follows until it can know them, so that a fleet that
+    /// starts at once does not read as a whole.
+    void refresh(base::time_point now);
 
     bool is_reader() const { return is_reader_; }
 
+    /// Longest pause between two failed watches. Others tell a follower what it misses meanwhile.
+    base::duration max_backoff() const;
+
 private:
     shared_state& shared_;
     std::shared_ptr<const member_view> view_;
     std::function<void()> on_reading_;
-    bool is_reader_ = true;
+    const base::time_point start_;
+    bool is_reader_ = false;
 };
 
 } // namespace rattanbay::daemon::internal
--- a/packages/daemon/src/state_synchronizer.cpp
+++ b/packages/daemon/src/state_synchronizer.cpp
@@ -29,7 +29,7 @@
     , transport_(transport)
     , on_members_(std::move(on_members))
     , platform_(platform, strand, shared.next_seed(), [this]() { vms_->platform_recovered(); })
-    , role_(shared)
+    , role_(shared, now())
     , vms_(std::make_shared<vm_list_synchronizer>(
           shared, strand, platform_, role_,
           [this](object_api::vm_list_update update) { send_vm_list_update(std::move(update)); }))
@@ -91,7 +91,7 @@
     const std::shared_ptr<state_synchronizer> self = shared_from_this();
     while (true) {
         co_await platform_.sleep_for(role_check_interval);
-        role_.refresh();
+        role_.refresh(now());
     }
 }
 
