Read the document anew when a role changes beside a return of the store

A return of the store from a copy has the document read again within 0.3 s. A daemon that began to read the store without delay in that time started a watch from the revision of the former era in its place, so that a change of the new era was found by a periodic read only.

A test that starts daemons so that their role changes 0.8 to 1.2 s after the start did not fail without the change and was dropped.

--- a/packages/daemon/src/document_synchronizer.cpp
+++ b/packages/daemon/src/document_synchronizer.cpp
@@ -83,8 +83,10 @@
 
 void document_synchronizer::watch_anew() {
     const std::shared_ptr<document_synchronizer> self = shared_from_this();
-    // Ends the running watch also if its own answer showed the new era.
+    // Ends the running watch also if its own answer showed the new era. A watch that is started for another
+    // reason in the meantime must not continue from a revision of the former era.
     const std::uint64_t generation = ++watch_generation_;
+    watched_version_ = {};
     asio::co_spawn(
         strand_,
         [self, generation]() -> asio::awaitable<void> {
--- a/packages/relay/test/rules_test.cpp
+++ b/packages/relay/test/rules_test.cpp
@@ -119,8 +119,8 @@
     BOOST_TEST(splitter.has_partial_event());
 }
 
-// Guards against time that grows with the square of an event's size, with which a faulty endpoint would hold the
-// thread. The end of an event may be divided between parts.
+// Guards against time that grows with the square of an event's size, with which a faulty endpoint would hold
+// the thread. The end of an event may be divided between parts.
 BOOST_AUTO_TEST_CASE(a_large_event_in_small_parts_is_found) {
     relay::event_splitter splitter;
     constexpr std::size_t parts = 64 * 1024;
