Tell followers of removals that a reader finds in a list read anew

A reader that lost the history reads the whole list and tells its failure domain to do so as well, naming the newest change. A list does not show when an entry was removed, so that followers which knew the newest entry that was left ignored the notice, and used a replica that had left without draining until their own watch, which may be seconds behind, found it.

The notice now names the version of the list, and is sent only if the VMs to use have changed.

Found by reading. Test: object_api_tests/vm_list_update/a_removal_found_in_a_new_list_is_told, whose last check is the condition that the receiver ignored.

--- a/packages/daemon/src/internal/vm_list_synchronizer.hpp
+++ b/packages/daemon/src/internal/vm_list_synchronizer.hpp
@@ -66,7 +66,8 @@
     void apply(const object_api::answer& answer, const object_api::store_revision& asked_at);
     /// Records an applied answer: these changes, or a complete list if null. Tells the other daemons of the
     /// failure domain, if this one reads for them.
-    void forward(const object_api::vm_changes* changes, const object_api::store_revision& before);
+    void forward(const object_api::vm_changes* changes, const object_api::store_revision& before,
+                 bool is_changed);
 
     shared_state& shared_;
     control_strand strand_;
--- a/packages/daemon/src/vm_list_synchronizer.cpp
+++ b/packages/daemon/src/vm_list_synchronizer.cpp
@@ -183,13 +183,16 @@
     } else {
         return;
     }
-    publisher_.publish(directory_.list(), *source);
-    forward(std::get_if<object_api::vm_changes>(&answer), before);
+    const object_api::vm_list list = directory_.list();
+    const bool is_changed = list.vms != shared_.vms.read()->vms;
+    publisher_.publish(list, *source);
+    forward(std::get_if<object_api::vm_changes>(&answer), before, is_changed);
 }
 
 void vm_list_synchronizer::forward(const object_api::vm_changes* changes,
-                                   const object_api::store_revision& before) {
-    std::optional<object_api::vm_list_update> update = updates_.record(directory_, before, changes);
+                                   const object_api::store_revision& before, bool is_changed) {
+    std::optional<object_api::vm_list_update> update =
+        updates_.record(directory_, before, changes, is_changed);
     if (update && role_.is_reader()) {
         send_update_(std::move(*update));
     }
@@ -205,7 +208,7 @@
     }
     const object_api::store_revision before = directory_.version();
     directory_.apply(update.changes, now());
-    updates_.record(directory_, before, &update.changes);
+    updates_.record(directory_, before, &update.changes, true);
     const vm_list_source source{"peer", update.changes.version};
     publisher_.record_answer(source, before, false);
     publisher_.publish(directory_.list(), source);
--- a/packages/object_api/include/rattanbay/object_api/vm_list_update.hpp
+++ b/packages/object_api/include/rattanbay/object_api/vm_list_update.hpp
@@ -11,7 +11,8 @@
 struct vm_list_update {
     /// Revision up to which a receiver has to know all changes of the list to apply these.
     store_revision after;
-    /// Without entries if the sender read the whole list again.
+    /// Without entries if the sender read the whole list again and found it changed. `newest_change` is then
+    /// the version of the list, as a list does not show when entries were removed.
     vm_changes changes;
 };
 
@@ -23,10 +24,10 @@
 class vm_update_tracker {
 public:
     /// Records that the directory, which had the version `before`, has applied an answer of the platform:
-    /// these changes, or a complete list if null. Returns the update to tell others; nothing if there is no
-    /// news.
+    /// these changes, or a complete list if null. `is_changed` says whether the VMs to use have changed.
+    /// Returns the update to tell others; nothing if there is no news.
     std::optional<vm_list_update> record(const vm_directory& directory, const store_revision& before,
-                                         const vm_changes* changes);
+                                         const vm_changes* changes, bool is_changed);
 
     /// Decides on an update. The directory has to apply its changes if the decision is `apply`.
     static update_decision decide(const vm_list_update& update, const vm_directory& directory);
--- a/packages/object_api/src/vm_list_update.cpp
+++ b/packages/object_api/src/vm_list_update.cpp
@@ -6,7 +6,7 @@
 
 std::optional<vm_list_update> vm_update_tracker::record(const vm_directory& directory,
                                                         const store_revision& before,
-                                                        const vm_changes* changes) {
+                                                        const vm_changes* changes, bool is_changed) {
     const store_revision previous_change = last_change_;
     last_change_ =
         std::max(last_change_, changes != nullptr ? directory.newest_change() : directory.version());
@@ -16,9 +16,12 @@
     if (changes != nullptr) {
         return vm_list_update{previous_change, *changes};
     }
+    if (!is_changed) {
+        return std::nullopt;
+    }
     vm_changes notice;
     notice.version = directory.version();
-    notice.newest_change = directory.newest_change();
+    notice.newest_change = directory.version();
     return vm_list_update{directory.version(), std::move(notice)};
 }
 
--- a/packages/object_api/test/vm_list_update_test.cpp
+++ b/packages/object_api/test/vm_list_update_test.cpp
@@ -118,8 +118,9 @@
 
     void read_list(const simulated_store& store, std::vector<object_api::vm_list_update>& sent) {
         const object_api::store_revision before = directory.version();
+        const std::map<std::string, object_api::vm_state> states_before = states();
         directory.apply(store.list(), base::time_point());
-        send(tracker.record(directory, before, nullptr), sent);
+        send(tracker.record(directory, before, nullptr, states() != states_before), sent);
     }
 
     void watch(const simulated_store& store, std::uint64_t as_of,
@@ -132,7 +133,7 @@
         }
         const object_api::vm_changes& changes = std::get<object_api::vm_changes>(answer);
         directory.apply(changes, base::time_point());
-        send(tracker.record(directory, before, &changes), sent);
+        send(tracker.record(directory, before, &changes, true), sent);
     }
 
     object_api::update_decision receive(const object_api::vm_list_update& update) {
@@ -140,7 +141,7 @@
         if (decision == object_api::update_decision::apply) {
             const object_api::store_revision before = directory.version();
             directory.apply(update.changes, base::time_point());
-            tracker.record(directory, before, &update.changes);
+            tracker.record(directory, before, &update.changes, true);
         }
         return decision;
     }
@@ -242,11 +243,28 @@
     BOOST_CHECK(follower.receive(sent.back()) == object_api::update_decision::read_list);
     follower.read_list(store, sent);
     BOOST_CHECK(follower.receive(sent.back()) == object_api::update_decision::ignore);
-    store.change("b", 0);
     sent.clear();
+    store.change_other();
+    reader.read_list(store, sent);
+    BOOST_TEST(sent.empty());
+}
+
+// Guards against a removal that nobody hears of: a reader found it in a list that it read anew, where the
+// newest change is an older one that the receiver knows.
+BOOST_AUTO_TEST_CASE(a_removal_found_in_a_new_list_is_told) {
+    simulated_store store;
+    store.change("a", 1);
+    store.change("b", 1);
+    simulated_daemon reader;
+    simulated_daemon follower;
+    std::vector<object_api::vm_list_update> sent;
+    reader.read_list(store, sent);
+    follower.read_list(store, sent);
+    store.change("b", 0);
     reader.read_list(store, sent);
     BOOST_REQUIRE(sent.size() == 1U);
     BOOST_CHECK(follower.receive(sent.back()) == object_api::update_decision::read_list);
+    BOOST_CHECK(sent.back().changes.newest_change > follower.directory.version());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
