Repeat failed watches of followers as soon as those of readers

The store is down there for 8 s while a third of the VMs is restarted and a quarter of the replicas leaves. A daemon that starts then has the list of a peer only and ignores updates until it has read its own; with the longer pause between failed watches it did so up to 6 s after the store was back.

The pause is 2 s at most again for all daemons.

--- a/packages/daemon/src/document_synchronizer.cpp
+++ b/packages/daemon/src/document_synchronizer.cpp
@@ -123,7 +123,7 @@
                             !std::holds_alternative<object_api::not_found>(answer);
         failures.record(usable);
         if (failures.last_failed()) {
-            co_await platform_.back_off("watch_document", failures.count(), answer, role_.max_backoff());
+            co_await platform_.back_off("watch_document", failures.count(), answer);
         }
     }
 }
--- a/packages/daemon/src/internal/platform_session.hpp
+++ b/packages/daemon/src/internal/platform_session.hpp
@@ -37,14 +37,10 @@
     /// Waits for a random time below `max_delay`, so that daemons do not all call at once.
     asio::awaitable<void> sleep_below(base::duration max_delay);
 
-    /// Bounds the time until a daemon finds that the platform answers again.
-    static constexpr base::duration default_max_backoff = std::chrono::seconds(2);
-
     /// Waits before a failed call is repeated, at most until the platform has answered another call.
     /// `failures` counts the consecutive failures of the call.
     asio::awaitable<void> back_off(std::string_view call_name, unsigned failures,
-                                   const object_api::answer& answer,
-                                   base::duration max_backoff = default_max_backoff);
+                                   const object_api::answer& answer);
 
     asio::awaitable<void> sleep_for(base::duration delay);
 
--- a/packages/daemon/src/internal/store_role.hpp
+++ b/packages/daemon/src/internal/store_role.hpp
@@ -21,9 +21,6 @@
 
     bool is_reader() const { return is_reader_; }
 
-    /// Longest pause between two failed watches. Others tell a follower what it misses meanwhile.
-    base::duration max_backoff() const;
-
 private:
     shared_state& shared_;
     std::shared_ptr<const member_view> view_;
--- a/packages/daemon/src/platform_session.cpp
+++ b/packages/daemon/src/platform_session.cpp
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds min_backoff{200};
+/// Bounds the time until a daemon finds that the platform answers again.
+constexpr std::chrono::seconds max_backoff{2};
 
 /// Name of a call's kind for the log.
 struct call_name {
@@ -55,8 +57,7 @@
 }
 
 asio::awaitable<void> platform_session::back_off(std::string_view call_name, unsigned failures,
-                                                 const object_api::answer& answer,
-                                                 base::duration max_backoff) {
+                                                 const object_api::answer& answer) {
     constexpr unsigned max_doublings = 6;
     const base::duration max_delay =
         std::min<base::duration>(min_backoff * (1U << std::min(failures - 1, max_doublings)), max_backoff);
--- a/packages/daemon/src/store_role.cpp
+++ b/packages/daemon/src/store_role.cpp
@@ -1,7 +1,5 @@
 #include "internal/store_role.hpp"
 
-#include "internal/platform_session.hpp"
-
 #include <rattanbay/membership.hpp>
 
 namespace rattanbay::daemon::internal {
@@ -17,11 +15,6 @@
     : shared_(shared)
     , start_(start) {}
 
-base::duration store_role::max_backoff() const {
-    constexpr std::chrono::seconds follower_backoff{6};
-    return is_reader_ ? platform_session::default_max_backoff : base::duration(follower_backoff);
-}
-
 void store_role::refresh(base::time_point now) {
     const std::shared_ptr<const member_view> view = shared_.members.read();
     if (view == view_ || now - start_ < settling_time) {
--- a/packages/daemon/src/vm_list_synchronizer.cpp
+++ b/packages/daemon/src/vm_list_synchronizer.cpp
@@ -121,7 +121,7 @@
         apply(answer, asked_at);
         failures.record(usable);
         if (failures.last_failed()) {
-            co_await platform_.back_off("watch_vms", failures.count(), answer, role_.max_backoff());
+            co_await platform_.back_off("watch_vms", failures.count(), answer);
         } else if (std::holds_alternative<object_api::vm_changes>(answer)) {
             co_await platform_.sleep_for(is_reader ? base::duration(watch_delay) : follower_watch_delay);
         }
