Answer each request before its client's deadline

Callers saw requests that ended with neither an answer nor a refusal: their endpoint was silent until the deadline, and the daemon sent its 504 at the deadline as counted from the arrival of the request. The client counts from sending, so that it had always left before. Only streams with a patience had a margin.

Endpoints still get the client's own deadline, and a stream that has begun may go on until then. The timeout of a route is the operator's and counts from the arrival, so it has no margin.

client_patience/a_request_is_answered_before_its_clients_deadline failed before for requests that may run once, may be repeated and stream: no answer within 900 ms. It passes now.

--- a/packages/base/include/rattanbay/base.hpp
+++ b/packages/base/include/rattanbay/base.hpp
@@ -4,6 +4,7 @@
 ///
 /// Parts:
 /// - address.hpp: IPv4 address and port
+/// - answer_time.hpp: time in which a request has to be answered so that its sender still waits
 /// - enum_names.hpp: conversion between enumeration values and names
 /// - error.hpp: error values and the result type
 /// - hash.hpp: SHA-256, HMAC, 128-bit hash
@@ -17,6 +18,7 @@
 /// - time.hpp: monotonic time points and durations
 
 #include <rattanbay/base/address.hpp>
+#include <rattanbay/base/answer_time.hpp>
 #include <rattanbay/base/enum_names.hpp>
 #include <rattanbay/base/error.hpp>
 #include <rattanbay/base/hash.hpp>
--- a/packages/daemon/src/internal/relay_run.hpp
+++ b/packages/daemon/src/internal/relay_run.hpp
@@ -124,8 +124,11 @@
     relay_input input_;
     base::random_source random_;
     base::service_name service_;
+    /// End of the client's wait or of the route's timeout. An endpoint may work, and a stream that has begun
+    /// may go on, until then.
     base::time_point deadline_;
-    /// Time by which the answer has to begin: clients give up a silent stream before its deadline.
+    /// Time by which the request has to be answered, or its stream has to begin, so that the answer arrives
+    /// while the client waits.
     base::time_point start_deadline_;
     std::shared_ptr<input_stages> stages_;
     /// Parts of the prompt that other requests may share.
--- a/packages/daemon/src/relay_run.cpp
+++ b/packages/daemon/src/relay_run.cpp
@@ -2,6 +2,8 @@
 
 #include "internal/clock.hpp"
 
+#include <rattanbay/base/answer_time.hpp>
+
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -17,8 +19,6 @@
 /// Maximum idle time of a pooled connection used for an at-most-once request. If the endpoint closes an idle
 /// connection while the request is on its way, it is unknown whether the request ran.
 constexpr std::chrono::milliseconds max_unrepeatable_idle{500};
-/// Time for a final answer to reach a client before it gives up its stream.
-constexpr std::chrono::milliseconds final_answer_time{100};
 /// Assumed response time while none has been measured.
 constexpr std::chrono::milliseconds default_response_time{300};
 constexpr int min_server_error_status = 500;
@@ -41,11 +41,17 @@
     std::function<void()> function_;
 };
 
-/// Time by which the answer to a request that arrived at `arrival` has to begin.
-base::time_point start_deadline(const config::relay_route& route, base::time_point arrival,
-                                base::time_point deadline) {
-    const bool gives_up = route.streamed && route.client_patience > base::duration::zero();
-    return gives_up ? std::min(deadline, arrival + route.client_patience - final_answer_time) : deadline;
+/// Time by which a request has to be answered, or its stream has to begin.
+base::time_point start_deadline(const relay_input& input) {
+    const config::relay_route& route = *input.route;
+    base::duration allowed = route.timeout;
+    if (input.request.time_left) {
+        allowed = std::min(allowed, base::time_to_answer(*input.request.time_left));
+    }
+    if (route.streamed && route.client_patience > base::duration::zero()) {
+        allowed = std::min(allowed, base::time_to_answer(route.client_patience));
+    }
+    return input.arrival + allowed;
 }
 
 bool is_repeatable(const config::relay_route& route) {
@@ -67,7 +73,7 @@
     , service_(relay::choose_target(*input_.route, random_))
     , deadline_(input_.arrival +
                 std::min(input_.request.time_left.value_or(input_.route->timeout), input_.route->timeout))
-    , start_deadline_(start_deadline(*input_.route, input_.arrival, deadline_))
+    , start_deadline_(start_deadline(input_))
     , shared_parts_(input_.request.prompt ? relay::shared_part_keys(service_, *input_.request.prompt)
                                           : std::vector<relay::part_key>())
     , input_release_timer_(executor)
