Let the owner of a key reply while the forwarding daemon waits

A daemon that forwards a request with an idempotency key told the owner the whole time for which it waits. A reply at the end of that time, such as a deadline that passed, came too late: the forwarding daemon took the owner for unreachable and sealed the record of a live daemon, and its caller got "unknown" instead of the owner's reply. The time given to the owner now leaves out the time for the way.

at_most_once/a_reply_at_the_end_of_the_owners_time_is_received, with 10 ms for each way, failed before: "the VM that the key names left no usable record" instead of the owner's reply.

--- a/packages/daemon/src/ledger_driver.cpp
+++ b/packages/daemon/src/ledger_driver.cpp
@@ -2,6 +2,7 @@
 
 #include "internal/clock.hpp"
 
+#include <rattanbay/base/answer_time.hpp>
 #include <rattanbay/caller/run_response.hpp>
 
 #include <boost/asio/co_spawn.hpp>
@@ -219,8 +220,9 @@
     forwarded.key = key_text(run.request.key, shared_.settings.cluster_secret);
     forwarded.target = run.target;
     forwarded.body = run.body;
-    forwarded.time_left_ms =
-        static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(timeout).count());
+    // A reply at the end of the timeout would come too late, and the record of a live owner would be sealed.
+    forwarded.time_left_ms = static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(base::time_to_answer(timeout)).count());
     shared_.record(run.run_request.id, telemetry::timeline_event::request_forwarded, {{"to", owner.text()}});
     const peer::frame message = std::move(forwarded);
     co_return co_await transport_.exchange(owner, message, timeout);
