Probe the connections to servers while they are silent

Callers of routes that may not be sent again waited until their deadline, or gave up, at an endpoint that had crashed without closing its connections. No socket of the daemon had keep-alive probes.

Connections to servers (endpoints, worker pools, the platform's store) are probed after 1 s without data, each second. A restarted server resets the connection then, and the attempt ends as broken: resumed where the route allows it, answered at once where not. Silence alone ends a connection only after ten probes, as a sound machine may be silent for a while and go on. Idle connections of the pool that were lost are found before they are used.

http_tests/liveness_probes and platform_adapter_tests/lost_connection failed before: 8 s instead of about 1 s, and 504 at the deadline instead of 502. The tests lose connections with the repair mode of Linux, which needs CAP_NET_ADMIN; without it they are skipped and say so.

--- a/packages/emulator/include/rattanbay/emulator.hpp
+++ b/packages/emulator/include/rattanbay/emulator.hpp
@@ -7,6 +7,7 @@
 /// - arrival_process.hpp: Poisson request arrivals from a seed
 /// - batch_timing.hpp: token times of an engine with continuous batching
 /// - caller_request.hpp: state machine of one request: target entry, idempotency key and retries
+/// - connection_loss.hpp: loss of connections without a notice to the other side
 /// - endpoint_fault.hpp: faults of emulated endpoints
 /// - endpoint_service.hpp: common interface of emulated endpoints
 /// - engine_streams.hpp: streams of a model engine and their progress
@@ -37,6 +38,7 @@
 #include <rattanbay/emulator/arrival_process.hpp>
 #include <rattanbay/emulator/batch_timing.hpp>
 #include <rattanbay/emulator/caller_request.hpp>
+#include <rattanbay/emulator/connection_loss.hpp>
 #include <rattanbay/emulator/endpoint_fault.hpp>
 #include <rattanbay/emulator/endpoint_service.hpp>
 #include <rattanbay/emulator/engine_streams.hpp>
--- a/packages/http/include/rattanbay/http.hpp
+++ b/packages/http/include/rattanbay/http.hpp
@@ -6,6 +6,7 @@
 /// - client_connection.hpp: one client connection, used by one exchange at a time
 /// - closed_connection.hpp: report of a connection of a server that has ended
 /// - connection_pool.hpp: pool of idle client connections
+/// - liveness_probes.hpp: probes that find connections which the other side has lost
 /// - message.hpp: requests, responses and header fields
 /// - operation_timeout.hpp: timeout of an operation that does not win over data that has arrived
 /// - response_memory.hpp: bounds on the memory of the responses that a process holds
@@ -15,6 +16,7 @@
 #include <rattanbay/http/client_connection.hpp>
 #include <rattanbay/http/closed_connection.hpp>
 #include <rattanbay/http/connection_pool.hpp>
+#include <rattanbay/http/liveness_probes.hpp>
 #include <rattanbay/http/message.hpp>
 #include <rattanbay/http/operation_timeout.hpp>
 #include <rattanbay/http/response_memory.hpp>
--- a/packages/http/src/client_connection.cpp
+++ b/packages/http/src/client_connection.cpp
@@ -1,4 +1,5 @@
 #include <rattanbay/http/client_connection.hpp>
+#include <rattanbay/http/liveness_probes.hpp>
 #include <rattanbay/http/operation_timeout.hpp>
 
 #include <boost/asio/co_spawn.hpp>
@@ -99,6 +100,7 @@
         if (!ec) {
             error_code ignored;
             stream_.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+            enable_liveness_probes(stream_.socket());
         }
         co_return ec;
     }
