End calls at endpoints that have been replaced

Callers of routes that may not be sent again waited for an endpoint that their daemon knew to be gone: its address was listed for another endpoint, or had answered a request for it with 421. An attempt looked at its socket only, and a crashed machine sends nothing on it.

Calls in progress, requests and calls to worker pools, are now registered with their endpoint. Two signs end them: another endpoint is listed at the address while their own is not, or another one answered there. Data that has arrived is read first. That an endpoint is silent or listed no more is no sign. After 421 the endpoint gets no requests for 1 s, and kept connections to an address at which a new endpoint is listed, or that answered 421, are closed, so that a second attempt does not use one that is reset.

--- a/packages/daemon/src/control.cpp
+++ b/packages/daemon/src/control.cpp
@@ -281,6 +281,9 @@
         check_isolation();
         update_account_limits();
         state_->publish_revisions();
+        if (shared_.relay) {
+            shared_.relay->calls->end_calls(shared_.relay->balancer);
+        }
         if (limit_exchange_) {
             limit_exchange_->refresh();
         }
--- a/packages/daemon/src/internal/piece_pool.hpp
+++ b/packages/daemon/src/internal/piece_pool.hpp
@@ -99,6 +99,8 @@
         http::client_connection* connection = nullptr;
         bool silent = false;
         bool ended = false;
+        /// Set if the connection was closed because the endpoint has ended.
+        std::optional<endpoint_end> end;
     };
 
     /// Scheduler of one service and its state.
@@ -131,6 +133,8 @@
     void handle_silence(const base::service_name& service, const std::shared_ptr<piece_call>& call);
     std::size_t replace_pieces(const base::service_name& service, const piece_call& call);
     static void close_call(piece_call& call);
+    /// Closes the connection of the call, unless it has unread data.
+    static void handle_endpoint_end(piece_call& call, endpoint_end end);
     /// Whether a piece is in no other call and does not wait.
     bool is_only_call(const piece_call& call) const;
     /// Fails a stage whose pieces can no longer start in time, unless all of these are in silent calls.
--- a/packages/daemon/src/internal/relay_attempt.hpp
+++ b/packages/daemon/src/internal/relay_attempt.hpp
@@ -25,12 +25,15 @@
 
 /// Attempt of a relayed request at one endpoint: its connection and what was read of its response. Runs on
 /// the request's executor.
-class relay_attempt {
+class relay_attempt : public std::enable_shared_from_this<relay_attempt> {
 public:
     /// `position` counts the attempts of the request from 1.
     relay_attempt(relay_state& relay, const base::request_id& request, relay::chosen_endpoint chosen,
                   std::size_t position, base::time_point start_time);
 
+    /// Ends the attempt, on the request's executor, if the endpoint is found to have ended.
+    void watch_endpoint(const asio::any_io_executor& executor);
+
     /// Takes a connection that was idle for at most `max_idle` or opens one. Returns whether it has one.
     asio::awaitable<bool> connect(asio::any_io_executor executor, base::duration max_idle,
                                   base::duration limit);
@@ -87,12 +90,18 @@
     bool cancelled = false;
 
 private:
+    /// Closes the connection, unless it has unread data: the endpoint may have answered before it ended.
+    void handle_endpoint_end(endpoint_end end);
+
     /// Closes the connection, as the response is too large.
     tl::unexpected<base::error> give_up(const base::error& reason);
 
     relay_state& relay_;
     const base::request_id request_;
     std::unique_ptr<http::client_connection> connection_;
+    std::optional<open_calls::registration> registration_;
+    /// Set if the connection was closed because the endpoint has ended.
+    std::optional<endpoint_end> end_;
     relay::event_splitter splitter_;
     /// Memory of what was read and not forwarded, and of the events that are being forwarded.
     http::response_memory::share held_;
--- a/packages/daemon/src/internal/relay_state.hpp
+++ b/packages/daemon/src/internal/relay_state.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "open_calls.hpp"
 #include "open_runs.hpp"
 
 #include <rattanbay/base/snapshot.hpp>
@@ -36,6 +37,13 @@
     /// Publishes the serving state of a document with a relay section; called on the control strand.
     void adopt(const std::shared_ptr<const config::environment_document>& document);
 
+    /// Takes over a changed VM list: closes kept connections to endpoints that have been replaced, and ends
+    /// the calls that are in progress there.
+    void update_endpoints(const object_api::vm_list& vms);
+
+    /// Records that another endpoint answered at the address of this one, which has ended.
+    void record_misdirected(const relay::chosen_endpoint& endpoint);
+
     /// Records what an endpoint's response says about further requests: none as it is leaving, none for a
     /// while, or a limited number.
     void record_endpoint_wishes(const base::endpoint_id& endpoint,
@@ -50,6 +58,8 @@
     /// Memory of the responses of endpoints.
     http::response_memory& responses;
     relay::part_quarantine quarantine;
+    /// Calls in progress at endpoints.
+    const std::shared_ptr<open_calls> calls = std::make_shared<open_calls>();
     /// Called with the client limits of each adopted document; set before the first one is adopted.
     std::function<void(const config::client_limits&)> on_client_limits;
     /// Called with the limit on requests that an endpoint names in an answer, or nothing if it names none.
--- a/packages/daemon/src/piece_pool.cpp
+++ b/packages/daemon/src/piece_pool.cpp
@@ -7,6 +7,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -306,6 +307,14 @@
     }
 }
 
+void piece_pool::handle_endpoint_end(piece_call& call, endpoint_end end) {
+    // The endpoint may have answered before it ended.
+    if (!call.ended && call.connection != nullptr && call.connection->passes_stale_check()) {
+        call.end = end;
+        call.connection->close();
+    }
+}
+
 void piece_pool::close_call(piece_call& call) {
     // Without a connection, one is being opened, which ends by itself.
     if (call.connection != nullptr) {
@@ -364,6 +373,12 @@
         call->connection = connection;
     };
     watch_silence(service, call, usual_time);
+    const relay::chosen_endpoint endpoint{batch.endpoint.id, batch.endpoint.address,
+                                          batch.endpoint.failure_domain};
+    const open_calls::registration registration(
+        relay_.calls, endpoint, [strand = strand_, call](endpoint_end end) {
+            asio::post(strand, [call, end]() { handle_endpoint_end(*call, end); });
+        });
     const base::result<http::response> response =
         co_await http::exchange(strand_, relay_.pool, batch.endpoint.address, std::move(message), limits,
                                 is_available, on_connection);
@@ -375,6 +390,9 @@
     std::string detail;
     std::vector<relay::held_result> held;
     const relay::attempt_result result = read_response(service, batch, response, detail, held);
+    if (call->end) {
+        detail = "the endpoint has ended: " + std::string(base::to_name(*call->end));
+    }
     queues_[service].scheduler.end_call(batch.endpoint.id, result, held, now());
     log_call(service, batch, result, start, detail);
     if (result != relay::attempt_result::answered) {
@@ -418,6 +436,9 @@
         relay_.protocol->read_response(http::response_header{response->status, response->fields});
     detail = "status " + std::to_string(response->status);
     relay_.record_endpoint_wishes(batch.endpoint.id, header);
+    if (header.is_misdirected) {
+        relay_.record_misdirected({batch.endpoint.id, batch.endpoint.address, batch.endpoint.failure_domain});
+    }
     if (header.retry_after) {
         queues_[service].scheduler.pause(batch.endpoint.id, now() + *header.retry_after);
     }
--- a/packages/daemon/src/relay_attempt.cpp
+++ b/packages/daemon/src/relay_attempt.cpp
@@ -4,6 +4,7 @@
 
 #include <rattanbay/telemetry.hpp>
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
@@ -29,6 +30,25 @@
     , request_(request)
     , held_(relay.responses) {}
 
+void relay_attempt::watch_endpoint(const asio::any_io_executor& executor) {
+    registration_.emplace(relay_.calls, endpoint, [weak = weak_from_this(), executor](endpoint_end end) {
+        asio::post(executor, [weak, end]() {
+            const std::shared_ptr<relay_attempt> attempt = weak.lock();
+            if (attempt) {
+                attempt->handle_endpoint_end(end);
+            }
+        });
+    });
+}
+
+void relay_attempt::handle_endpoint_end(endpoint_end end) {
+    // Without a connection, one is being opened; the request is not sent then.
+    if (connection_ && connection_->passes_stale_check()) {
+        end_ = end;
+        close();
+    }
+}
+
 asio::awaitable<bool> relay_attempt::connect(asio::any_io_executor executor, base::duration max_idle,
                                              base::duration limit) {
     connection_ = relay_.pool.acquire(endpoint.address, max_idle);
@@ -73,6 +93,9 @@
         const base::result<std::string> rest = co_await http::read_body(*connection_, limit, held_);
         detail += rest ? "" : ", " + rest.error().message;
         held_.clear();
+        if (header.is_misdirected) {
+            relay_.record_misdirected(endpoint);
+        }
         co_return relay::attempt_result::declined;
     }
     if (!relay::is_response_to(header, request_)) {
@@ -136,6 +159,10 @@
 }
 
 void relay_attempt::release() {
+    registration_.reset();
+    if (end_) {
+        detail = "the endpoint has ended: " + std::string(base::to_name(*end_));
+    }
     if (connection_ && connection_->reusable()) {
         relay_.pool.release(std::move(connection_));
     } else {
--- a/packages/daemon/src/relay_run.cpp
+++ b/packages/daemon/src/relay_run.cpp
@@ -295,8 +295,10 @@
     tried_endpoints_.push_back(endpoint.id);
     const base::time_point start = now();
     relay_.balancer.begin_call(endpoint.id, start);
-    return std::make_shared<relay_attempt>(relay_, input_.request.id, endpoint, tried_endpoints_.size(),
-                                           start);
+    const std::shared_ptr<relay_attempt> attempt =
+        std::make_shared<relay_attempt>(relay_, input_.request.id, endpoint, tried_endpoints_.size(), start);
+    attempt->watch_endpoint(executor_);
+    return attempt;
 }
 
 void relay_run::finish_attempt(relay_attempt& current, relay::attempt_result result) {
--- a/packages/daemon/src/relay_state.cpp
+++ b/packages/daemon/src/relay_state.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr int status_ok = 200;
+/// Time for which an endpoint that has ended gets no requests while the list still names it.
+constexpr std::chrono::seconds ended_endpoint_pause{1};
 
 } // namespace
 
@@ -47,6 +49,19 @@
     }
 }
 
+void relay_state::update_endpoints(const object_api::vm_list& vms) {
+    for (const base::address& address : balancer.update(vms)) {
+        pool.close_idle(address);
+    }
+    calls->end_calls(balancer);
+}
+
+void relay_state::record_misdirected(const relay::chosen_endpoint& endpoint) {
+    balancer.pause(endpoint.id, now() + ended_endpoint_pause);
+    pool.close_idle(endpoint.address);
+    calls->record_misdirected(endpoint);
+}
+
 void relay_state::record_endpoint_wishes(const base::endpoint_id& endpoint,
                                          const relay::endpoint_response_header& header) {
     if (header.is_leaving && balancer.mark_leaving(endpoint)) {
--- a/packages/daemon/src/vm_list_publisher.cpp
+++ b/packages/daemon/src/vm_list_publisher.cpp
@@ -103,7 +103,7 @@
 
 void vm_list_publisher::publish_endpoints() {
     if (shared_.relay) {
-        shared_.relay->balancer.update(*shared_.vms.read());
+        shared_.relay->update_endpoints(*shared_.vms.read());
         return;
     }
     const std::shared_ptr<const serving_state> serving = shared_.serving.read();
--- a/packages/relay/include/rattanbay/relay/balancer.hpp
+++ b/packages/relay/include/rattanbay/relay/balancer.hpp
@@ -58,8 +58,9 @@
     /// `local_domain` is the failure domain of this VM; `seed` initializes the random tie-breaking.
     balancer(base::failure_domain local_domain, std::uint64_t seed);
 
-    /// Replaces the list of endpoints. Endpoints that keep their address keep their statistics.
-    void update(const object_api::vm_list& vms);
+    /// Replaces the list of endpoints. Endpoints that keep their address keep their statistics. Returns the
+    /// addresses of endpoints that were not listed there before.
+    std::vector<base::address> update(const object_api::vm_list& vms);
 
     /// Chooses an endpoint; empty if the service has none that accepts work. Ejected endpoints are only
     /// considered if there are no others.
@@ -100,6 +101,9 @@
     /// Whether the endpoint is listed and accepts work.
     bool is_available(const base::endpoint_id& endpoint, base::time_point now) const;
 
+    /// Whether another endpoint is listed at the address of this one, which is not listed any more.
+    bool is_replaced(const chosen_endpoint& endpoint) const;
+
     /// Failure domain of the endpoint at an address; empty if none is listed there.
     base::failure_domain failure_domain_at(const base::address& address) const;
 
@@ -155,7 +159,7 @@
     base::random_source random_;
     std::map<base::endpoint_id, endpoint_state> endpoints_;
     std::map<base::service_name, std::vector<base::endpoint_id>> by_service_;
-    std::map<base::address, base::failure_domain> domain_by_address_;
+    std::map<base::address, base::endpoint_id> id_by_address_;
     std::uint64_t generation_ = 0;
 };
 
--- a/packages/relay/include/rattanbay/relay/messages.hpp
+++ b/packages/relay/include/rattanbay/relay/messages.hpp
@@ -87,6 +87,8 @@
     bool is_signed = false;
     /// Whether the endpoint reports that it has not run the request and never will.
     bool not_run = false;
+    /// Whether another endpoint than the expected one received the request, at the expected one's address.
+    bool is_misdirected = false;
     /// Whether the body is a stream of events.
     bool is_event_stream = false;
     /// Whether the body has a content encoding, which the client did not ask for.
--- a/packages/relay/src/balancer.cpp
+++ b/packages/relay/src/balancer.cpp
@@ -53,11 +53,12 @@
     : local_domain_(std::move(local_domain))
     , random_(seed) {}
 
-void balancer::update(const object_api::vm_list& vms) {
+std::vector<base::address> balancer::update(const object_api::vm_list& vms) {
     const std::lock_guard<std::mutex> lock(mutex_);
     std::map<base::endpoint_id, endpoint_state> next;
+    std::vector<base::address> new_addresses;
     by_service_.clear();
-    domain_by_address_.clear();
+    id_by_address_.clear();
     for (const object_api::vm& vm : vms.vms) {
         const base::endpoint_id id(vm.id.text());
         const auto it = endpoints_.find(id);
@@ -69,11 +70,15 @@
         state.vm = vm;
         if (next.emplace(id, std::move(state)).second) {
             by_service_[vm.service].push_back(id);
-            domain_by_address_[vm.address] = vm.failure_domain;
+            id_by_address_[vm.address] = id;
+            if (!same) {
+                new_addresses.push_back(vm.address);
+            }
         }
     }
     endpoints_ = std::move(next);
     ++generation_;
+    return new_addresses;
 }
 
 double balancer::median_call_ms(const std::vector<base::endpoint_id>& ids) const {
@@ -308,10 +313,17 @@
     return it != endpoints_.end() && accepts_work(it->second) && it->second.paused_until <= now;
 }
 
+bool balancer::is_replaced(const chosen_endpoint& endpoint) const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const auto it = endpoints_.find(endpoint.id);
+    const bool is_listed = it != endpoints_.end() && it->second.vm.address == endpoint.address;
+    return !is_listed && id_by_address_.contains(endpoint.address);
+}
+
 base::failure_domain balancer::failure_domain_at(const base::address& address) const {
     const std::lock_guard<std::mutex> lock(mutex_);
-    const auto it = domain_by_address_.find(address);
-    return it == domain_by_address_.end() ? base::failure_domain() : it->second;
+    const auto it = id_by_address_.find(address);
+    return it == id_by_address_.end() ? base::failure_domain() : endpoints_.at(it->second).vm.failure_domain;
 }
 
 std::vector<pool_endpoint> balancer::available_endpoints(const base::service_name& service) const {
--- a/packages/relay/test/balancer_test.cpp
+++ b/packages/relay/test/balancer_test.cpp
@@ -51,6 +51,28 @@
     BOOST_TEST(!balancer.is_available(base::endpoint_id("e1"), at_ms(0)));
 }
 
+// Guards against taking an endpoint for replaced that is only listed no more, and against missing that
+// another one has its address.
+BOOST_FIXTURE_TEST_CASE(an_endpoint_is_replaced_when_another_has_its_address, three_endpoint_fixture) {
+    query.excluded = {base::endpoint_id("e2"), base::endpoint_id("e3")};
+    const relay::chosen_endpoint called = balancer.choose(query, at_ms(0)).value();
+    BOOST_TEST(!balancer.is_replaced(called));
+    object_api::vm other = list.vms[0];
+    other.id = base::vm_id("e4");
+    list.vms.push_back(other);
+    const std::vector<base::address> new_addresses = balancer.update(list);
+    // Both are listed: which one has the address is not known.
+    BOOST_TEST(!balancer.is_replaced(called));
+    BOOST_REQUIRE(new_addresses.size() == 1U);
+    BOOST_CHECK(new_addresses.front() == called.address);
+    list.vms.erase(list.vms.begin());
+    balancer.update(list);
+    BOOST_TEST(balancer.is_replaced(called));
+    list.vms.pop_back();
+    balancer.update(list);
+    BOOST_TEST(!balancer.is_replaced(called));
+}
+
 // Guards against an endpoint that gets no work for ever, after it returned under its former name and address.
 BOOST_FIXTURE_TEST_CASE(an_endpoint_that_returns_gets_work, three_endpoint_fixture) {
     balancer.mark_leaving(base::endpoint_id("e1"));
