Log how long the client of an unanswered request waits

request_unanswered could not tell a client whose deadline passed from one that gave up earlier: the line had the time since the request was read, but not the time for which the client said that it waits. It has client_wait_ms now.

--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -15,6 +15,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <condition_variable>
 #include <csignal>
 #include <mutex>
@@ -180,26 +181,40 @@
         return {};
     }
 
-    /// Identifier of a request that was read completely, at most as long as a log line may hold; empty if it
-    /// has none.
-    std::string loggable_id(const http::request& message) const {
+    /// What the log says about a request that was read completely.
+    struct request_summary {
+        /// At most as long as a log line may hold; empty if the request has none.
+        std::string id;
+        /// Time for which the client says that it waits, in milliseconds; empty if it does not say.
+        std::string client_wait_ms;
+    };
+
+    request_summary summarize(const http::request& message) const {
         constexpr std::size_t max_id_bytes = 128;
-        std::string id = message.fields.find("X-Request-Id").value_or("");
+        request_summary out;
+        out.id = message.fields.find("X-Request-Id").value_or("");
         if (shared_.relay) {
             const base::result<relay::client_request> parsed = shared_.relay->protocol->read_request(message);
-            id = parsed ? parsed->id.text() : std::string();
+            out.id = parsed ? parsed->id.text() : std::string();
+            if (parsed && parsed->time_left) {
+                out.client_wait_ms = std::to_string(base::to_milliseconds(*parsed->time_left));
+            }
         }
-        return id.substr(0, max_id_bytes);
+        out.id.resize(std::min(out.id.size(), max_id_bytes));
+        return out;
     }
 
     void log_unanswered(const http::unanswered_request& request) const {
+        const request_summary summary =
+            request.message != nullptr ? summarize(*request.message) : request_summary{};
         telemetry::log(
             telemetry::log_event::request_unanswered,
-            {{"request", request.message != nullptr ? loggable_id(*request.message) : std::string()},
+            {{"request", summary.id},
              {"connection", std::to_string(request.connection_id)},
              {"reason", std::string(base::to_name(request.reason))},
              {"complete", request.message != nullptr ? "true" : "false"},
              {"since_last_byte_ms", std::to_string(base::to_milliseconds(request.since_last_byte))},
+             {"client_wait_ms", summary.client_wait_ms},
              {"sent_bytes", std::to_string(request.sent_bytes)},
              {"draining", shared_.draining.load() ? "true" : "false"},
              {"detail", request.detail}});
