Tolerate three seconds of silence before probes break a connection

By review of the change to three probes: they are sent 1, 2 and 3 s after the last data, so that a machine that is silent or cut off for little more than 2 s could lose its connections although it was back. The test checked a sum that is longer than the shortest silence that breaks a connection, and its bound and its sum had been loosened together. It now checks the shortest one against the same 3 s; with three probes it fails. Four probes satisfy it and end a connection 5 s after the last data.

A connection that ends so is reported as timed out, as a silent one was before, not as broken: broken connections before an answer are taken as hints that a part of a prompt makes endpoints crash, and one cut would have counted as several crashes.

--- a/packages/http/include/rattanbay/http/liveness_probes.hpp
+++ b/packages/http/include/rattanbay/http/liveness_probes.hpp
@@ -9,9 +9,9 @@
 /// Time without received data after which the other side of a connection is probed, and the interval of the
 /// probes.
 inline constexpr std::chrono::seconds probe_interval{1};
-/// Number of consecutive probes without a reply after which a connection is broken. A sound machine may be
-/// silent or cut off for a second or so and go on; clients wait for a silent stream for 5 s and more.
-inline constexpr int max_unanswered_probes = 3;
+/// Number of consecutive probes without a reply after which a connection is broken, one interval after the
+/// last of them. A sound machine may be silent or cut off for a second or so and go on.
+inline constexpr int max_unanswered_probes = 4;
 
 /// Makes the operating system probe the other side of a connected socket while no data arrives. A machine
 /// that has lost the connection resets it, for example after its process crashed without closing it and was
--- a/packages/http/src/client_connection.cpp
+++ b/packages/http/src/client_connection.cpp
@@ -30,7 +30,8 @@
 
 base::error to_error(const error_code& ec, const base::address& remote_address, const char* operation) {
     const std::string message = std::string(operation) + " " + remote_address.text() + ": " + ec.message();
-    if (ec == beast::error::timeout) {
+    // The operating system reports a time-out if probes or sent data are not acknowledged.
+    if (ec == beast::error::timeout || ec == asio::error::timed_out) {
         return base::error{base::error_code::timed_out, message};
     }
     if (ec == asio::error::connection_refused) {
--- a/packages/http/test/liveness_probes_test.cpp
+++ b/packages/http/test/liveness_probes_test.cpp
@@ -97,7 +97,8 @@
 // Guards against probes that give up a sound machine, which may be silent or cut off for a second or so.
 BOOST_AUTO_TEST_CASE(a_short_silence_breaks_no_connection) {
     constexpr std::chrono::seconds tolerated_silence{3};
-    BOOST_CHECK(http::probe_interval * (1 + http::max_unanswered_probes) > tolerated_silence);
+    // The silence may begin just before the first probe.
+    BOOST_CHECK(http::probe_interval * (http::max_unanswered_probes - 1) >= tolerated_silence);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
