Take only a later start as a sign that an endpoint was replaced

- A list that comes back from a copy of the store can name the former endpoint of an address and not the present one, whose calls would have been closed.
The other endpoint must be live now and must have started later, both by the start times that they report.
- What a list shows is judged anew each time, so that a call with unread data is not closed later by a list that was corrected meanwhile.
- To look for unread data consumed the error of a reset socket, so that an answer that ends with its connection could have been taken for complete.
The socket is now polled, as by the timeouts of operations.
- A 421 to a call of a worker pool names no request and is no sign any more.
- The call that got the 421 is not counted in endpoint_ended.

--- a/packages/daemon/src/internal/open_calls.hpp
+++ b/packages/daemon/src/internal/open_calls.hpp
@@ -16,7 +16,7 @@
 /// What shows that an endpoint's process has ended, whatever an open connection to it says. That an endpoint
 /// is silent, or is listed no more, shows nothing: it may go on.
 enum class endpoint_end {
-    /// Another endpoint is listed at its address, and it is not.
+    /// Another endpoint that started later is listed at its address, and it is not.
     replaced,
     /// A request for it was answered by another endpoint at its address.
     misdirected,
@@ -25,8 +25,8 @@
 /// Calls in progress at endpoints, which end when their endpoint has ended. Thread-safe.
 class open_calls {
 public:
-    /// Closes the connection of a call unless it has unread data. Called from any thread, and again as long
-    /// as the call is registered.
+    /// Closes the connection of a call unless there is something to read. Called from any thread, and again
+    /// as long as the call is registered and its endpoint appears to have ended.
     using end_handler = std::function<void(endpoint_end)>;
 
     /// Registers a call during its lifetime.
@@ -50,22 +50,24 @@
     /// Records that the endpoint is no longer at its address, and ends its calls.
     void record_misdirected(const relay::chosen_endpoint& endpoint);
 
-    /// Ends the calls at endpoints that were replaced according to the list, and those found to have ended
-    /// earlier which still had unread data.
+    /// Ends the calls at endpoints that are replaced according to the list in use, and those at endpoints
+    /// found to be misdirected earlier which still had something to read.
     void end_calls(const relay::balancer& balancer);
 
 private:
     struct call {
         relay::chosen_endpoint endpoint;
         end_handler on_end;
-        std::optional<endpoint_end> end;
+        /// Holds for good, unlike what a list shows.
+        bool is_misdirected = false;
+        bool is_logged = false;
     };
 
     std::uint64_t add(relay::chosen_endpoint endpoint, end_handler on_end);
     void remove(std::uint64_t key);
-    /// Records and logs the ends of endpoints that `find_end` finds, and calls the handlers of all calls at
-    /// endpoints that have ended.
-    void end_calls(const std::function<std::optional<endpoint_end>(const relay::chosen_endpoint&)>& find_end);
+    /// Calls the handlers of the calls for which `find_end` finds that their endpoint has ended. Logs each
+    /// such endpoint once.
+    void end_calls(const std::function<std::optional<endpoint_end>(const call&)>& find_end);
 
     std::mutex mutex_;
     std::map<std::uint64_t, call> calls_;
--- a/packages/daemon/src/open_calls.cpp
+++ b/packages/daemon/src/open_calls.cpp
@@ -9,7 +9,7 @@
 
 std::uint64_t open_calls::add(relay::chosen_endpoint endpoint, end_handler on_end) {
     const std::lock_guard<std::mutex> lock(mutex_);
-    calls_.emplace(++last_key_, call{std::move(endpoint), std::move(on_end), std::nullopt});
+    calls_.emplace(++last_key_, call{std::move(endpoint), std::move(on_end)});
     return last_key_;
 }
 
@@ -19,20 +19,27 @@
 }
 
 void open_calls::record_misdirected(const relay::chosen_endpoint& endpoint) {
-    end_calls([&endpoint](const relay::chosen_endpoint& called) {
-        const bool same = called.id == endpoint.id && called.address == endpoint.address;
-        return same ? std::optional(endpoint_end::misdirected) : std::nullopt;
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        for (auto& [key, row] : calls_) {
+            const bool same = row.endpoint.id == endpoint.id && row.endpoint.address == endpoint.address;
+            row.is_misdirected = row.is_misdirected || same;
+        }
+    }
+    end_calls([](const call& row) {
+        return row.is_misdirected ? std::optional(endpoint_end::misdirected) : std::nullopt;
     });
 }
 
 void open_calls::end_calls(const relay::balancer& balancer) {
-    end_calls([&balancer](const relay::chosen_endpoint& called) {
-        return balancer.is_replaced(called) ? std::optional(endpoint_end::replaced) : std::nullopt;
+    end_calls([&balancer](const call& row) {
+        const bool replaced = !row.is_misdirected && balancer.is_replaced(row.endpoint);
+        const endpoint_end end = replaced ? endpoint_end::replaced : endpoint_end::misdirected;
+        return replaced || row.is_misdirected ? std::optional(end) : std::nullopt;
     });
 }
 
-void open_calls::end_calls(
-    const std::function<std::optional<endpoint_end>(const relay::chosen_endpoint&)>& find_end) {
+void open_calls::end_calls(const std::function<std::optional<endpoint_end>(const call&)>& find_end) {
     struct ended_endpoint {
         base::address address;
         endpoint_end end;
@@ -44,15 +51,14 @@
     {
         const std::lock_guard<std::mutex> lock(mutex_);
         for (auto& [key, row] : calls_) {
-            if (!row.end) {
-                row.end = find_end(row.endpoint);
-                if (row.end) {
-                    ++found.try_emplace(row.endpoint.id, ended_endpoint{row.endpoint.address, *row.end})
-                          .first->second.calls;
-                }
+            const std::optional<endpoint_end> end = find_end(row);
+            if (!end) {
+                continue;
             }
-            if (row.end) {
-                handlers.emplace_back(row.on_end, *row.end);
+            handlers.emplace_back(row.on_end, *end);
+            if (!std::exchange(row.is_logged, true)) {
+                const ended_endpoint first{row.endpoint.address, *end};
+                ++found.try_emplace(row.endpoint.id, first).first->second.calls;
             }
         }
     }
--- a/packages/daemon/src/piece_pool.cpp
+++ b/packages/daemon/src/piece_pool.cpp
@@ -309,7 +309,7 @@
 
 void piece_pool::handle_endpoint_end(piece_call& call, endpoint_end end) {
     // The endpoint may have answered before it ended.
-    if (!call.ended && call.connection != nullptr && call.connection->passes_stale_check()) {
+    if (!call.ended && call.connection != nullptr && !call.connection->is_readable()) {
         call.end = end;
         call.connection->close();
     }
@@ -374,7 +374,7 @@
     };
     watch_silence(service, call, usual_time);
     const relay::chosen_endpoint endpoint{batch.endpoint.id, batch.endpoint.address,
-                                          batch.endpoint.failure_domain};
+                                          batch.endpoint.failure_domain, batch.endpoint.started_ms};
     const open_calls::registration registration(
         relay_.calls, endpoint, [strand = strand_, call](endpoint_end end) {
             asio::post(strand, [call, end]() { handle_endpoint_end(*call, end); });
@@ -436,9 +436,6 @@
         relay_.protocol->read_response(http::response_header{response->status, response->fields});
     detail = "status " + std::to_string(response->status);
     relay_.record_endpoint_wishes(batch.endpoint.id, header);
-    if (header.is_misdirected) {
-        relay_.record_misdirected({batch.endpoint.id, batch.endpoint.address, batch.endpoint.failure_domain});
-    }
     if (header.retry_after) {
         queues_[service].scheduler.pause(batch.endpoint.id, now() + *header.retry_after);
     }
--- a/packages/daemon/src/relay_attempt.cpp
+++ b/packages/daemon/src/relay_attempt.cpp
@@ -43,7 +43,7 @@
 
 void relay_attempt::handle_endpoint_end(endpoint_end end) {
     // Without a connection, one is being opened; the request is not sent then.
-    if (connection_ && connection_->passes_stale_check()) {
+    if (connection_ && !connection_->is_readable()) {
         end_ = end;
         close();
     }
@@ -94,6 +94,7 @@
         detail += rest ? "" : ", " + rest.error().message;
         held_.clear();
         if (header.is_misdirected) {
+            registration_.reset();
             relay_.record_misdirected(endpoint);
         }
         co_return relay::attempt_result::declined;
--- a/packages/http/include/rattanbay/http/client_connection.hpp
+++ b/packages/http/include/rattanbay/http/client_connection.hpp
@@ -66,6 +66,10 @@
     /// Whether an idle connection is still open and has no unread data.
     virtual bool passes_stale_check() = 0;
 
+    /// Whether a pending operation has something to read: data, the end of the connection or an error. Does
+    /// not consume it.
+    virtual bool is_readable() = 0;
+
     /// How long the server keeps the connection open without a request, from the `Keep-Alive` field of
     /// its last response.
     virtual std::optional<base::duration> keep_alive_timeout() const = 0;
--- a/packages/http/src/client_connection.cpp
+++ b/packages/http/src/client_connection.cpp
@@ -1,3 +1,5 @@
+#include "internal/socket_readiness.hpp"
+
 #include <rattanbay/http/client_connection.hpp>
 #include <rattanbay/http/liveness_probes.hpp>
 #include <rattanbay/http/operation_timeout.hpp>
@@ -190,6 +192,10 @@
         return ec == asio::error::would_block || ec == asio::error::try_again;
     }
 
+    bool is_readable() override {
+        return internal::is_ready(stream_.socket().native_handle(), awaited_readiness::read);
+    }
+
     std::optional<base::duration> keep_alive_timeout() const override { return keep_alive_timeout_; }
 
     const base::address& remote_address() const override { return remote_address_; }
--- a/packages/http/src/operation_timeout.cpp
+++ b/packages/http/src/operation_timeout.cpp
@@ -1,9 +1,10 @@
+#include "internal/socket_readiness.hpp"
+
 #include <rattanbay/http/operation_timeout.hpp>
 
 #include <boost/asio/error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/error.hpp>
-#include <poll.h>
 
 namespace rattanbay::http {
 
@@ -16,14 +17,6 @@
 /// when it was cancelled, or its socket was ready.
 constexpr std::chrono::milliseconds recheck_interval{2};
 
-/// Whether the operation can go on without waiting; an error or a close also ends it.
-bool is_ready(asio::ip::tcp::socket& socket, awaited_readiness awaited) {
-    pollfd query{};
-    query.fd = socket.native_handle();
-    query.events = awaited == awaited_readiness::read ? POLLIN : POLLOUT;
-    return ::poll(&query, 1, 0) > 0;
-}
-
 } // namespace
 
 struct operation_timeout::state {
--- a/packages/relay/include/rattanbay/relay/balancer.hpp
+++ b/packages/relay/include/rattanbay/relay/balancer.hpp
@@ -26,6 +26,8 @@
     base::endpoint_id id;
     base::address address;
     base::failure_domain failure_domain;
+    /// Start of its process in Unix milliseconds; 0 if it is not known.
+    std::uint64_t started_ms = 0;
     /// Calls of this daemon in progress at the endpoint, and endpoints that could be chosen; for the log.
     std::uint32_t running = 0;
     std::uint32_t candidates = 0;
@@ -101,7 +103,8 @@
     /// Whether the endpoint is listed and accepts work.
     bool is_available(const base::endpoint_id& endpoint, base::time_point now) const;
 
-    /// Whether another endpoint is listed at the address of this one, which is not listed any more.
+    /// Whether a live endpoint that started later is listed at the address of this one, which is not listed
+    /// any more. A list that was restored from a copy may name the former endpoint of the address instead.
     bool is_replaced(const chosen_endpoint& endpoint) const;
 
     /// Failure domain of the endpoint at an address; empty if none is listed there.
--- a/packages/relay/include/rattanbay/relay/piece_scheduler.hpp
+++ b/packages/relay/include/rattanbay/relay/piece_scheduler.hpp
@@ -35,6 +35,8 @@
     base::endpoint_id id;
     base::address address;
     base::failure_domain failure_domain;
+    /// Start of its process in Unix milliseconds; 0 if it is not known.
+    std::uint64_t started_ms = 0;
 };
 
 /// Piece that waits to be sent in a call.
--- a/packages/relay/src/balancer.cpp
+++ b/packages/relay/src/balancer.cpp
@@ -173,8 +173,12 @@
         }
     }
     const object_api::vm& vm = best->state->vm;
-    return chosen_endpoint{base::endpoint_id(vm.id.text()), vm.address, vm.failure_domain,
-                           best->state->running, static_cast<std::uint32_t>(from.size())};
+    return chosen_endpoint{base::endpoint_id(vm.id.text()),
+                           vm.address,
+                           vm.failure_domain,
+                           vm.started_ms,
+                           best->state->running,
+                           static_cast<std::uint32_t>(from.size())};
 }
 
 void balancer::begin_call(const base::endpoint_id& endpoint, base::time_point now) {
@@ -317,7 +321,12 @@
     const std::lock_guard<std::mutex> lock(mutex_);
     const auto it = endpoints_.find(endpoint.id);
     const bool is_listed = it != endpoints_.end() && it->second.vm.address == endpoint.address;
-    return !is_listed && id_by_address_.contains(endpoint.address);
+    const auto other = id_by_address_.find(endpoint.address);
+    if (is_listed || other == id_by_address_.end() || endpoint.started_ms == 0) {
+        return false;
+    }
+    const object_api::vm& vm = endpoints_.at(other->second).vm;
+    return vm.state == object_api::vm_state::live && vm.started_ms > endpoint.started_ms;
 }
 
 base::failure_domain balancer::failure_domain_at(const base::address& address) const {
@@ -334,7 +343,8 @@
         for (const base::endpoint_id& id : it->second) {
             const endpoint_state& state = endpoints_.at(id);
             if (accepts_work(state)) {
-                out.push_back(pool_endpoint{id, state.vm.address, state.vm.failure_domain});
+                out.push_back(
+                    pool_endpoint{id, state.vm.address, state.vm.failure_domain, state.vm.started_ms});
             }
         }
     }
--- a/packages/relay/test/balancer_test.cpp
+++ b/packages/relay/test/balancer_test.cpp
@@ -54,11 +54,14 @@
 // Guards against taking an endpoint for replaced that is only listed no more, and against missing that
 // another one has its address.
 BOOST_FIXTURE_TEST_CASE(an_endpoint_is_replaced_when_another_has_its_address, three_endpoint_fixture) {
+    list.vms[0].started_ms = 1'000;
+    balancer.update(list);
     query.excluded = {base::endpoint_id("e2"), base::endpoint_id("e3")};
     const relay::chosen_endpoint called = balancer.choose(query, at_ms(0)).value();
     BOOST_TEST(!balancer.is_replaced(called));
     object_api::vm other = list.vms[0];
     other.id = base::vm_id("e4");
+    other.started_ms = called.started_ms + 1;
     list.vms.push_back(other);
     const std::vector<base::address> new_addresses = balancer.update(list);
     // Both are listed: which one has the address is not known.
@@ -68,6 +71,17 @@
     list.vms.erase(list.vms.begin());
     balancer.update(list);
     BOOST_TEST(balancer.is_replaced(called));
+    relay::chosen_endpoint later = called;
+    later.started_ms = other.started_ms + 1;
+    // As in a list from a copy, which names the former endpoint of the address.
+    BOOST_TEST(!balancer.is_replaced(later));
+    list.vms.back().state = object_api::vm_state::leaving;
+    balancer.update(list);
+    BOOST_TEST(!balancer.is_replaced(called));
+    list.vms.back().state = object_api::vm_state::live;
+    list.vms.back().started_ms = 0;
+    balancer.update(list);
+    BOOST_TEST(!balancer.is_replaced(called));
     list.vms.pop_back();
     balancer.update(list);
     BOOST_TEST(!balancer.is_replaced(called));
