Decide whether a connection stays open when its response is written

A request that was read before a planned stop and answered after its begin got "Connection: keep-alive" and the time for which the connection may be used, and the connection was closed right after the response, or at the end of the time in which requests are accepted. A client that used it again got neither an answer nor a refusal. Whether the connection stays open was decided before the request was handled.

Found by review, by reading. keep_alive/ a_response_after_the_begin_of_a_stop_announces_no_time fails before: with the condition switched off, both responses announce a time.

--- a/packages/http/src/internal/beast_responder.hpp
+++ b/packages/http/src/internal/beast_responder.hpp
@@ -13,6 +13,7 @@
 #include <boost/beast/http.hpp>
 
 #include <cassert>
+#include <functional>
 #include <optional>
 
 namespace rattanbay::http::internal {
@@ -42,6 +43,11 @@
 
     void close_after_response() override { keep_alive_ = false; }
 
+    /// The response closes the connection unless this holds when its header is written.
+    void set_keep_alive_condition(std::function<bool()> condition) {
+        keep_alive_condition_ = std::move(condition);
+    }
+
     /// Announces in the response that the connection stays open without a request; the server must keep it
     /// for `idle_timeout`. The announced time is shorter, so that a request at its end still arrives in time.
     void announce_idle_timeout(base::duration idle_timeout) {
@@ -168,7 +174,8 @@
     static constexpr int announced_share_numerator = 4;
     static constexpr int announced_share_denominator = 5;
 
-    template <class Body> void set_keep_alive(beast::http::response<Body>& out) const {
+    template <class Body> void set_keep_alive(beast::http::response<Body>& out) {
+        keep_alive_ = keep_alive_ && (!keep_alive_condition_ || keep_alive_condition_());
         out.keep_alive(keep_alive_);
         if (keep_alive_ && announced_idle_time_.count() > 0) {
             out.set(beast::http::field::connection, "keep-alive");
@@ -192,6 +199,7 @@
     base::duration write_timeout_;
     bool keep_alive_;
     std::uint64_t connection_id_;
+    std::function<bool()> keep_alive_condition_;
     /// Whole seconds, the unit of the header field; 0 announces nothing.
     std::chrono::seconds announced_idle_time_{0};
     std::shared_ptr<disconnect_monitor> disconnect_monitor_;
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -460,6 +460,8 @@
     const server_limits limits = server_->limits();
     beast_responder out(stream_, buffer_, limits.write_timeout, keep_alive, id_);
     out.announce_idle_timeout(limits.idle_timeout);
+    // A planned stop may begin while the request is handled; its client must not use the connection again.
+    out.set_keep_alive_condition([this]() { return server_->keep_alive_enabled(); });
     idle_timeout_ = limits.idle_timeout;
     server_->request_started();
     std::optional<std::string> failure;
--- a/packages/http/test/keep_alive_test.cpp
+++ b/packages/http/test/keep_alive_test.cpp
@@ -79,4 +79,25 @@
     BOOST_TEST(answer.find("Keep-Alive") == std::string::npos, answer);
 }
 
+// Guards against an announced time in which the connection is closed: a planned stop begins after the request
+// was read and before its response.
+BOOST_AUTO_TEST_CASE(a_response_after_the_begin_of_a_stop_announces_no_time) {
+    for (const std::string& target : {std::string("/"), std::string("/stream")}) {
+        std::shared_ptr<http::server> server;
+        const http::request_handler stop_first = [&](const http::request& message,
+                                                     http::responder& out) -> asio::awaitable<void> {
+            server->disable_keep_alive();
+            co_await serve(message, out);
+        };
+        loopback_server fixture(stop_first, reject, http::server_limits{});
+        server = fixture.server;
+        asio::io_context context;
+        asio::ip::tcp::socket client(context);
+        client.connect({asio::ip::make_address_v4(fixture.address.ip), fixture.address.port});
+        const std::string answer = exchange(client, target, "");
+        BOOST_TEST(answer.find("Connection: close\r\n") != std::string::npos, answer);
+        BOOST_TEST(answer.find("Keep-Alive") == std::string::npos, answer);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
