Count the time of a request from its first byte

The deadline of a relayed request was counted from the begin of its handler, after its whole body was read, so that with a long body, or a thread that was held in between, the final answer came when the client had left, as before. It is counted from the time at which the first bytes of the request were read.

Found by review, by reading; it has no test of its own.

--- a/packages/daemon/src/internal/clock.hpp
+++ b/packages/daemon/src/internal/clock.hpp
@@ -6,10 +6,14 @@
 
 namespace rattanbay::daemon::internal {
 
+/// Converts a time of the steady clock to the form used by the decision logic.
+inline base::time_point from_steady(std::chrono::steady_clock::time_point at) {
+    return base::time_point(std::chrono::duration_cast<base::duration>(at.time_since_epoch()));
+}
+
 /// Current time of the steady clock, as passed to the decision logic.
 inline base::time_point now() {
-    return base::time_point(
-        std::chrono::duration_cast<base::duration>(std::chrono::steady_clock::now().time_since_epoch()));
+    return from_steady(std::chrono::steady_clock::now());
 }
 
 /// Converts a time point for use with a timer. State machines without a pending wakeup return the maximum
--- a/packages/daemon/src/relay_handler.cpp
+++ b/packages/daemon/src/relay_handler.cpp
@@ -48,7 +48,8 @@
 
 asio::awaitable<void> relay_handler::handle(const http::request& message, http::responder& out) {
     relay_input input;
-    input.arrival = now();
+    // The client's time runs while a long body arrives, or while the thread is held.
+    input.arrival = from_steady(out.begin_of_request());
     base::result<relay::client_request> parsed = relay_.protocol->read_request(message);
     if (!parsed) {
         http::response response =
--- a/packages/http/include/rattanbay/http/server.hpp
+++ b/packages/http/include/rattanbay/http/server.hpp
@@ -77,6 +77,9 @@
     /// arrived while the thread did other work. A close behind a pipelined request is not found.
     virtual bool is_disconnected() = 0;
 
+    /// Time at which the first bytes of the request were read.
+    virtual std::chrono::steady_clock::time_point begin_of_request() const = 0;
+
     /// Closes the connection after this response. Must be called before the response is sent.
     virtual void close_after_response() = 0;
 };
--- a/packages/http/src/internal/beast_responder.hpp
+++ b/packages/http/src/internal/beast_responder.hpp
@@ -13,6 +13,7 @@
 #include <boost/beast/http.hpp>
 
 #include <cassert>
+#include <chrono>
 #include <functional>
 #include <optional>
 
@@ -41,6 +42,10 @@
 
     bool is_disconnected() override { return internal::is_closed_by_peer(stream_.socket()); }
 
+    std::chrono::steady_clock::time_point begin_of_request() const override { return begin_of_request_; }
+
+    void set_begin_of_request(std::chrono::steady_clock::time_point at) { begin_of_request_ = at; }
+
     void close_after_response() override { keep_alive_ = false; }
 
     /// The response closes the connection unless this holds when its header is written.
@@ -199,6 +204,7 @@
     base::duration write_timeout_;
     bool keep_alive_;
     std::uint64_t connection_id_;
+    std::chrono::steady_clock::time_point begin_of_request_ = std::chrono::steady_clock::now();
     std::function<bool()> keep_alive_condition_;
     /// Whole seconds, the unit of the header field; 0 announces nothing.
     std::chrono::seconds announced_idle_time_{0};
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -119,6 +119,8 @@
     std::uint64_t id_;
     beast::flat_buffer buffer_;
     bool request_active_ = false;
+    /// Time at which the first bytes of the current request were read.
+    std::chrono::steady_clock::time_point first_byte_;
     /// Time at which bytes of the current request were last read.
     std::chrono::steady_clock::time_point last_byte_;
     /// What is reported when the connection ends.
@@ -460,6 +462,7 @@
     const server_limits limits = server_->limits();
     beast_responder out(stream_, buffer_, limits.write_timeout, keep_alive, id_);
     out.announce_idle_timeout(limits.idle_timeout);
+    out.set_begin_of_request(first_byte_);
     // A planned stop may begin while the request is handled; its client must not use the connection again.
     out.set_keep_alive_condition([this]() { return server_->keep_alive_enabled(); });
     idle_timeout_ = limits.idle_timeout;
@@ -504,6 +507,7 @@
             break;
         }
         ++end_.requests;
+        first_byte_ = last_byte_;
         request_active_ = true;
         beast::http::request_parser<beast::http::string_body> parser;
         ec = co_await read_request(parser, server_->limits());
