Skip a second answer on a kept connection to an endpoint

What callers saw: a request that may run once got 502 although a sound endpoint had run it and answered; a request that may be repeated was sent twice, and got 502 when both connections were in that state.

Cause: an endpoint may send the answer to a request once more, late, at the point where the next answer on the kept connection is expected. relay_attempt recognised by the identifier that the answer was not that of its request, closed the connection, and lost the real answer behind it. The fault of an earlier exchange ended a later, sound one.

Evidence: read from the code and shown with a stand-in.

Change: a connection knows the identifier of its last exchange. An answer that has exactly this identifier is logged as crossed_answer, read to its end within 50 ms and skipped, once for each request; the next one is read as usual and has to have the request's own identifier. A second answer that is not whole, or an answer to any other request, ends the attempt as before.

Tests: kept_connection/a_late_second_answer_does_not_end_the_next_request failed before in 10 checks: 4 of 8 requests that may run once and 2 of 8 that may be repeated got 502, and 4 of the latter were sent twice. The other two cases guard what must not be skipped, and passed before. After: three runs of kept_connection, one of http_tests and one of platform_adapter_tests.

--- a/packages/daemon/src/internal/relay_attempt.hpp
+++ b/packages/daemon/src/internal/relay_attempt.hpp
@@ -87,12 +87,23 @@
     bool cancelled = false;
 
 private:
+    /// Reads a header. Returns the result if there is none, or nothing.
+    asio::awaitable<std::optional<relay::attempt_result>> receive_header(base::duration time_left);
+
+    /// Whether the header belongs to the earlier request on this connection.
+    bool is_second_answer() const;
+
+    /// Reads the rest of an answer to the earlier request, and the header of the next answer.
+    asio::awaitable<std::optional<relay::attempt_result>> skip_second_answer(base::duration time_left);
+
     /// Closes the connection, as the response is too large.
     tl::unexpected<base::error> give_up(const base::error& reason);
 
     relay_state& relay_;
     const base::request_id request_;
     std::unique_ptr<http::client_connection> connection_;
+    /// Identifier of the last request on this connection before this one; empty if there was none.
+    std::string earlier_request_;
     relay::event_splitter splitter_;
     /// Memory of what was read and not forwarded, and of the events that are being forwarded.
     http::response_memory::share held_;
--- a/packages/daemon/src/relay_attempt.cpp
+++ b/packages/daemon/src/relay_attempt.cpp
@@ -16,6 +16,8 @@
 constexpr std::chrono::milliseconds connect_timeout{300};
 /// Time to read the body of a refusal, without which its connection cannot be used again.
 constexpr std::chrono::milliseconds max_refusal_body_time{50};
+/// Time to read the rest of a second answer, which the endpoint sends in one piece.
+constexpr std::chrono::milliseconds max_second_answer_time{50};
 constexpr int min_redirection_status = 300;
 
 } // namespace
@@ -33,7 +35,9 @@
                                              base::duration limit) {
     connection_ = relay_.pool.acquire(endpoint.address, max_idle);
     reused = connection_ != nullptr;
-    if (!connection_) {
+    if (connection_) {
+        earlier_request_ = connection_->last_exchange();
+    } else {
         base::result<std::unique_ptr<http::client_connection>> opened =
             co_await http::client_connection::connect(executor, endpoint.address,
                                                       std::min<base::duration>(connect_timeout, limit));
@@ -52,7 +56,8 @@
     connection_->begin_send(std::move(message), time_left);
 }
 
-asio::awaitable<std::optional<relay::attempt_result>> relay_attempt::read_header(base::duration time_left) {
+asio::awaitable<std::optional<relay::attempt_result>>
+relay_attempt::receive_header(base::duration time_left) {
     const base::result<http::response_header> received = co_await connection_->read_header(time_left);
     if (!received) {
         detail = received.error().message;
@@ -63,6 +68,44 @@
                                                                        : relay::attempt_result::broken;
     }
     header = relay_.protocol->read_response(*received);
+    co_return std::nullopt;
+}
+
+bool relay_attempt::is_second_answer() const {
+    return !earlier_request_.empty() && header.request_id && header.request_id != request_ &&
+           header.request_id->text() == earlier_request_;
+}
+
+asio::awaitable<std::optional<relay::attempt_result>>
+relay_attempt::skip_second_answer(base::duration time_left) {
+    const base::time_point begin = now();
+    detail = "status " + std::to_string(header.status) + " once more for the earlier request '" +
+             earlier_request_ + "'";
+    telemetry::log(telemetry::log_event::crossed_answer,
+                   {{"request", request_.text()}, {"endpoint", endpoint.id.text()}, {"detail", detail}});
+    const base::duration limit = std::min<base::duration>(max_second_answer_time, time_left);
+    const base::result<std::string> rest = co_await http::read_body(*connection_, limit, held_);
+    held_.clear();
+    if (!rest) {
+        close();
+        detail += ", " + rest.error().message;
+        co_return relay::attempt_result::broken;
+    }
+    detail.clear();
+    connection_->expect_response();
+    co_return co_await receive_header(std::max(base::duration::zero(), time_left - (now() - begin)));
+}
+
+asio::awaitable<std::optional<relay::attempt_result>> relay_attempt::read_header(base::duration time_left) {
+    const base::time_point begin = now();
+    std::optional<relay::attempt_result> failed = co_await receive_header(time_left);
+    if (!failed && is_second_answer()) {
+        time_left = std::max(base::duration::zero(), time_left - (now() - begin));
+        failed = co_await skip_second_answer(time_left);
+    }
+    if (failed) {
+        co_return failed;
+    }
     if (header.load) {
         relay_.balancer.update_load(endpoint.id, *header.load, now());
     }
@@ -137,6 +180,7 @@
 
 void relay_attempt::release() {
     if (connection_ && connection_->reusable()) {
+        connection_->record_exchange(request_.text());
         relay_.pool.release(std::move(connection_));
     } else {
         close();
--- a/packages/http/include/rattanbay/http/client_connection.hpp
+++ b/packages/http/include/rattanbay/http/client_connection.hpp
@@ -12,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace rattanbay::http {
 
@@ -53,6 +54,9 @@
     /// Reads the status line and the header fields; a header that is too large is `exhausted`.
     virtual asio::awaitable<base::result<response_header>> read_header(base::duration timeout) = 0;
 
+    /// Prepares for one more response after one that was read to its end and answers an earlier exchange.
+    virtual void expect_response() = 0;
+
     /// Reads the next part of the body; returns an empty string at the end of a complete body. A
     /// truncated body is `connection_broken`, a malformed one `protocol_violation`. Bytes between two parts
     /// of a body that are no content, such as chunk extensions or trailers, are `exhausted` if there are too
@@ -74,6 +78,15 @@
 
     /// Closes the connection; a pending operation fails with `connection_broken`.
     virtual void close() = 0;
+
+    /// Identifier of the last exchange, as its user recorded it; empty if none did.
+    const std::string& last_exchange() const { return last_exchange_; }
+
+    /// Records the identifier of an exchange that has ended. A server may send its response once more.
+    void record_exchange(std::string id) { last_exchange_ = std::move(id); }
+
+private:
+    std::string last_exchange_;
 };
 
 /// Reads the rest of a body. The timeout applies to all of it, however many parts it arrives in. Error
--- a/packages/http/src/client_connection.cpp
+++ b/packages/http/src/client_connection.cpp
@@ -152,6 +152,12 @@
         co_return header;
     }
 
+    void expect_response() override {
+        assert(parser_.has_value() && parser_->is_done());
+        reusable_ = false;
+        prepare_parser();
+    }
+
     asio::awaitable<base::result<std::string>> read_some(base::duration timeout) override {
         assert(parser_.has_value());
         const asio::any_io_executor executor = co_await asio::this_coro::executor;
@@ -218,6 +224,10 @@
 
     void begin_exchange() {
         reusable_ = false;
+        prepare_parser();
+    }
+
+    void prepare_parser() {
         parser_.emplace();
         parser_->header_limit(max_response_header_bytes);
         // Callers of read_some limit the body size. Beast 1.74 treats boost::none as a limit of 0.
