--- a/packages/http/src/operation_timeout.cpp
+++ b/packages/http/src/operation_timeout.cpp
@@ -55,7 +55,7 @@
         if (ec || current->finished) {
             return;
         }
-        if (!is_ready(current->stream.socket(), current->awaited)) {
+        if (!internal::is_ready(current->stream.socket().native_handle(), current->awaited)) {
             current->expired = true;
             current->stream.cancel();
         }
