--- a/packages/daemon/test/process_cluster.hpp
+++ b/packages/daemon/test/process_cluster.hpp
@@ -1,13 +1,10 @@
 #pragma once
 
+#include "child_process.hpp"
 #include "test_cluster.hpp"
 
 #include <boost/test/unit_test.hpp>
-#include <fcntl.h>
-#include <spawn.h>
-#include <sys/wait.h>
 
-#include <csignal>
 #include <filesystem>
 #include <fstream>
 
@@ -18,7 +15,7 @@
         : test_cluster(0)
         , directory_(std::filesystem::temp_directory_path() /
                      ("rattanbay-" + caller_address(0).host() + "-" + std::to_string(::getpid())))
-        , processes_(daemons, no_process) {
+        , processes_(daemons) {
         std::filesystem::create_directories(directory_);
         for (std::size_t n = 0; n < daemons; ++n) {
             spawn(n);
@@ -26,11 +23,7 @@
     }
 
     ~process_cluster() {
-        for (std::size_t n = 0; n < processes_.size(); ++n) {
-            if (processes_[n] != no_process) {
-                kill(n);
-            }
-        }
+        processes_.clear();
         std::filesystem::remove_all(directory_);
     }
 
@@ -39,44 +32,34 @@
         std::ofstream(settings) << settings_text(n);
         const std::string path = settings.string();
         const std::string log = (directory_ / ("log-" + std::to_string(n))).string();
-        posix_spawn_file_actions_t file_actions;
-        posix_spawn_file_actions_init(&file_actions);
-        posix_spawn_file_actions_addopen(&file_actions, STDERR_FILENO, log.c_str(),
-                                         O_WRONLY | O_CREAT | O_APPEND, 0644);
-        std::string program = RATTANBAY_DAEMON;
-        std::string argument = path;
-        std::array<char*, 3> arguments{program.data(), argument.data(), nullptr};
-        const int spawned = ::posix_spawn(&processes_[n], RATTANBAY_DAEMON, &file_actions, nullptr,
-                                          arguments.data(), environ);
-        posix_spawn_file_actions_destroy(&file_actions);
-        BOOST_REQUIRE(spawned == 0);
+        processes_[n] = child_process::spawn(RATTANBAY_DAEMON, path, log);
+        BOOST_REQUIRE(processes_[n].has_value());
     }
 
     /// Sends a signal to the process of daemon `n`.
-    void signal(std::size_t n, int signal_number) { ::kill(processes_[n], signal_number); }
+    void signal(std::size_t n, int signal_number) { processes_[n]->signal(signal_number); }
 
     /// Kills the process of daemon `n`.
     void kill(std::size_t n) {
-        signal(n, SIGKILL);
-        wait_for_end(n);
+        processes_[n]->kill();
+        processes_[n].reset();
     }
 
     /// Waits for the process of daemon `n` to end. Returns its status as reported by `waitpid`.
     int wait_for_end(std::size_t n) {
-        int status = 0;
-        ::waitpid(processes_[n], &status, 0);
-        processes_[n] = no_process;
+        const int status = processes_[n]->wait_for_end();
+        processes_[n].reset();
         return status;
     }
 
     bool wait_until_all_ready(std::uint64_t revision) {
         return wait_until([this, revision]() {
             std::size_t running = 0;
-            for (const pid_t process : processes_) {
-                running += process == no_process ? 0 : 1;
+            for (const std::optional<child_process>& process : processes_) {
+                running += process ? 1 : 0;
             }
             for (std::size_t n = 0; n < processes_.size(); ++n) {
-                if (processes_[n] != no_process && !is_ready(n, revision, running)) {
+                if (processes_[n] && !is_ready(n, revision, running)) {
                     return false;
                 }
             }
@@ -85,8 +68,6 @@
     }
 
 private:
-    static constexpr pid_t no_process = -1;
-
     std::string settings_text(std::size_t n) const {
         const rattanbay::config::settings settings = settings_of(n);
         nlohmann::json text;
@@ -109,5 +90,5 @@
     }
 
     std::filesystem::path directory_;
-    std::vector<pid_t> processes_;
+    std::vector<std::optional<child_process>> processes_;
 };
