--- a/packages/daemon/src/relay_run.cpp
+++ b/packages/daemon/src/relay_run.cpp
@@ -295,7 +295,7 @@
     tried_endpoints_.push_back(endpoint.id);
     const base::time_point start = now();
     relay_.balancer.begin_call(endpoint.id, start);
-    const std::shared_ptr<relay_attempt> attempt =
+    std::shared_ptr<relay_attempt> attempt =
         std::make_shared<relay_attempt>(relay_, input_.request.id, endpoint, tried_endpoints_.size(), start);
     attempt->watch_endpoint(executor_);
     return attempt;
