--- a/review/common/standin.hpp
+++ b/review/common/standin.hpp
@@ -10,6 +10,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -618,6 +619,8 @@
         const std::string variable = "RATTANBAY_SETTINGS=" + settings;
         pid_ = ::fork();
         if (pid_ == 0) {
+            // Also if this program is killed, no daemon is left behind.
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL);
             if (max_fds > 0) {
                 const rlimit limit{max_fds, max_fds};
                 ::setrlimit(RLIMIT_NOFILE, &limit);
