--- a/review/common/standin.hpp
+++ b/review/common/standin.hpp
@@ -411,6 +411,9 @@
 
     std::string address() const { return listener_.address(); }
 
+    /// How old the answers to calls with `stale_ok` are.
+    void set_stale_age(milliseconds age) { stale_age_ = age; }
+
     void put(const std::string& kind, const std::string& name, const json& spec) {
         const std::lock_guard<std::mutex> lock(mutex_);
         write(kind, name, spec);
@@ -430,8 +433,28 @@
         std::uint64_t revision;
         std::string kind;
         json event;
+        clock::time_point time = clock::now();
     };
 
+    /// Objects of a kind as they were `stale_age_` ago, and the revision then.
+    std::pair<std::map<std::string, json>, std::uint64_t> old_objects(const std::string& kind) const {
+        std::map<std::string, json> objects;
+        std::uint64_t revision = 1;
+        for (const change& row : history_) {
+            if (row.time > clock::now() - stale_age_.load()) {
+                break;
+            }
+            revision = row.revision;
+            const std::string name = row.event["object"]["metadata"]["name"];
+            if (row.kind == kind && row.event["tombstone"] == false) {
+                objects[name] = row.event["object"];
+            } else if (row.kind == kind) {
+                objects.erase(name);
+            }
+        }
+        return {objects, revision};
+    }
+
     json write(const std::string& kind, const std::string& name, const json& spec) {
         json object{{"metadata",
                      {{"name", name},
@@ -499,30 +522,37 @@
             return of_kind.contains(name) ? std::pair(200, of_kind[name]) : std::pair(404, json::object());
         }
         const std::string watch = query(target, "watch");
+        const bool is_stale = query(target, "stale_ok") == "1" && stale_age_.load() > milliseconds(0);
         if (watch.empty()) {
             json items = json::array();
             const std::string after = query(target, "after");
-            for (const auto& row : of_kind) {
+            const auto [listed, as_of] = is_stale ? old_objects(kind) : std::pair(of_kind, revision_);
+            for (const auto& row : listed) {
                 if (row.first > after) {
                     items.push_back(row.second);
                 }
             }
-            return {200, {{"items", items}, {"has_more", false}, {"as_of", revision_}}};
+            return {200, {{"items", items}, {"has_more", false}, {"as_of", as_of}}};
         }
         const std::uint64_t from = std::stoull(watch);
         const std::string wait = query(target, "wait_ms");
         const clock::time_point deadline = clock::now() + milliseconds(wait.empty() ? 0 : std::stoul(wait));
         while (true) {
             json events = json::array();
+            const clock::time_point newest = is_stale ? clock::now() - stale_age_.load() : clock::now();
+            std::uint64_t as_of = is_stale ? from : revision_;
             for (const change& row : history_) {
-                if (row.revision > from && row.kind == kind) {
-                    events.push_back(row.event);
+                if (row.revision > from && row.time <= newest) {
+                    as_of = std::max(as_of, row.revision);
+                    if (row.kind == kind) {
+                        events.push_back(row.event);
+                    }
                 }
             }
             if (!events.empty() || clock::now() >= deadline || stopped_) {
-                return {200, {{"events", events}, {"as_of", revision_}}};
+                return {200, {{"events", events}, {"as_of", as_of}}};
             }
-            changed_.wait_until(lock, deadline);
+            changed_.wait_until(lock, is_stale ? std::min(deadline, clock::now() + milliseconds(50)) : deadline);
         }
     }
 
@@ -544,6 +574,7 @@
     std::map<std::string, std::map<std::string, json>> objects_;
     std::vector<change> history_;
     std::uint64_t revision_ = 1;
+    std::atomic<milliseconds> stale_age_{milliseconds(0)};
     listener listener_;
 };
 
