--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -1,5 +1,5 @@
-// One part of a prompt crashes each replica that begins to answer a request with it, while the machines of the
-// system are stopped and started in turn.
+// One part of a prompt crashes each replica that begins to answer a request with it, while the machines of
+// the system are stopped and started in turn.
 
 #include "../common/standin.hpp"
 
@@ -60,7 +60,8 @@
     }
 
     void announce() {
-        objects_.put("servers", id, server_entry("model", at.address(), "khi-a", 64, "ready", wall_ms(), ++seq_));
+        objects_.put("servers", id,
+                     server_entry("model", at.address(), "khi-a", 64, "ready", wall_ms(), ++seq_));
     }
 
     void serve(connection& from) {
@@ -155,8 +156,8 @@
     const auto request = [&](int daemon, const std::string& id, const std::string& part, bool deadly) {
         ++open_requests;
         std::thread([&, daemon, id, part, deadly]() {
-            const std::string fields =
-                "X-Model: m\r\nX-Token-Count: 1460,20\r\nX-Prompt-Prefix: " + part + ":800,own" + id + ":660\r\n";
+            const std::string fields = "X-Model: m\r\nX-Token-Count: 1460,20\r\nX-Prompt-Prefix: " + part +
+                                       ":800,own" + id + ":660\r\n";
             const std::unique_ptr<connection> to =
                 connection::open(machines[static_cast<std::size_t>(daemon)].ip,
                                  machines[static_cast<std::size_t>(daemon)].front());
@@ -195,8 +196,8 @@
             if (time >= next_deadly) {
                 next_deadly += poison_interval_s;
                 const int daemon = deadly_sent % daemon_count;
-                request(daemon, "d" + std::to_string(daemon) + "-" + std::to_string(++deadly_sent), deadly_part,
-                        true);
+                request(daemon, "d" + std::to_string(daemon) + "-" + std::to_string(++deadly_sent),
+                        deadly_part, true);
             }
             sleep_ms(5);
         }
--- a/review/common/standin.hpp
+++ b/review/common/standin.hpp
@@ -3,18 +3,17 @@
 // Stand-ins of the platform, its store, replicas and clients for the cases of the review. They use blocking
 // sockets and threads, and speak what the users' pages say.
 
-#include <nlohmann/json.hpp>
-
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <nlohmann/json.hpp>
 #include <poll.h>
 #include <signal.h>
 #include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
-#include <fcntl.h>
 #include <unistd.h>
 
 #include <atomic>
@@ -552,7 +551,8 @@
             if (!events.empty() || clock::now() >= deadline || stopped_) {
                 return {200, {{"events", events}, {"as_of", as_of}}};
             }
-            changed_.wait_until(lock, is_stale ? std::min(deadline, clock::now() + milliseconds(50)) : deadline);
+            changed_.wait_until(lock,
+                                is_stale ? std::min(deadline, clock::now() + milliseconds(50)) : deadline);
         }
     }
 
@@ -586,9 +586,13 @@
     int first_port = 0;
 
     int front() const { return first_port; }
+
     int ready() const { return first_port + 1; }
+
     int control() const { return first_port + 2; }
+
     int directory() const { return first_port + 3; }
+
     int free_port() const { return first_port + 4; }
 };
 
@@ -602,22 +606,21 @@
     for (std::size_t n = 0; n < std::min<std::size_t>(3, seeds.size()); ++n) {
         seed_list += (n == 0 ? "\"" : ",\"") + seeds[n].ip + ":" + std::to_string(seeds[n].control()) + "\"";
     }
-    const std::map<std::string, std::string> values{
-        {"{{node}}", of.name},
-        {"{{zone}}", of.zone},
-        {"{{listen.front}}", at(of.front())},
-        {"{{listen.control}}", at(of.control())},
-        {"{{listen.ready}}", at(of.ready())},
-        {"{{listen.directory}}", at(of.directory())},
-        {"{{ip}}:{{port_range.0}}", at(of.free_port())},
-        {"{{platform.address}}", store_address},
-        {"{{#seeds}}\"{{.}}\"{{,}}{{/seeds}}", seed_list},
-        {"{{limits.cpu_share}}", "0.25"},
-        {"{{limits.cores}}", "1"},
-        {"{{limits.memory_mb}}", "260"},
-        {"{{bounds.retry_budget_ratio}}", "0.2"},
-        {"{{bounds.budget_window_s}}", "10"},
-        {"{{bounds.budget_extra}}", "52"}};
+    const std::map<std::string, std::string> values{{"{{node}}", of.name},
+                                                    {"{{zone}}", of.zone},
+                                                    {"{{listen.front}}", at(of.front())},
+                                                    {"{{listen.control}}", at(of.control())},
+                                                    {"{{listen.ready}}", at(of.ready())},
+                                                    {"{{listen.directory}}", at(of.directory())},
+                                                    {"{{ip}}:{{port_range.0}}", at(of.free_port())},
+                                                    {"{{platform.address}}", store_address},
+                                                    {"{{#seeds}}\"{{.}}\"{{,}}{{/seeds}}", seed_list},
+                                                    {"{{limits.cpu_share}}", "0.25"},
+                                                    {"{{limits.cores}}", "1"},
+                                                    {"{{limits.memory_mb}}", "260"},
+                                                    {"{{bounds.retry_budget_ratio}}", "0.2"},
+                                                    {"{{bounds.budget_window_s}}", "10"},
+                                                    {"{{bounds.budget_extra}}", "52"}};
     for (const auto& [from, to] : values) {
         for (std::size_t n = text.find(from); n != std::string::npos; n = text.find(from, n + to.size())) {
             text.replace(n, from.size(), to);
@@ -760,25 +763,24 @@
 }
 
 inline std::uint64_t wall_ms() {
-    return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(
-                                          std::chrono::system_clock::now().time_since_epoch())
-                                          .count());
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+            .count());
 }
 
 /// Entry of a replica in the store.
 inline json server_entry(const std::string& service, const std::string& address, const std::string& zone,
                          unsigned slots, const std::string& state, std::uint64_t born, unsigned seq) {
-    return {{"service", service}, {"address", address}, {"zone", zone},     {"version", "v1"},
-            {"slots", slots},     {"state", state},     {"cold_left_ms", 0}, {"born", born},
-            {"seq", seq}};
+    return {{"service", service}, {"address", address}, {"zone", zone}, {"version", "v1"}, {"slots", slots},
+            {"state", state},     {"cold_left_ms", 0},  {"born", born}, {"seq", seq}};
 }
 
 /// Request of a client, with the fields of the pages.
 inline std::string request_text(const std::string& method, const std::string& target, const std::string& id,
                                 unsigned deadline_ms, const std::string& more, const std::string& body) {
     return method + " " + target + " HTTP/1.1\r\nHost: one.example\r\nX-Attempt-Id: " + id +
-           "\r\nX-Deadline-Ms: " + std::to_string(deadline_ms) + "\r\nAuthorization: Bearer key-1\r\n" + more +
-           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+           "\r\nX-Deadline-Ms: " + std::to_string(deadline_ms) + "\r\nAuthorization: Bearer key-1\r\n" +
+           more + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
 } // namespace standin
