Encode names of other writers in requests to the store

Cause: the cursor of the next page is the last name of the page before, and it went into the query of the next request as it was. With & or # the cursor ended early, + became a blank and %7A became z, so that the store returned the same page again and again, or one behind all replicas; with a blank, a tab or a quote it refused the request. A daemon that had read the list before went on with its watch. One that had started anew knew the replicas of the first pages at most, and the list of evacuated failure domains had the same fault.

Names of unreserved characters only, like those of replicas, are sent as before.

--- a/packages/ctl/src/daemon_commands.cpp
+++ b/packages/ctl/src/daemon_commands.cpp
@@ -2,31 +2,12 @@
 #include "internal/commands.hpp"
 #include "internal/presentation.hpp"
 
+#include <rattanbay/http/message.hpp>
+
 namespace rattanbay::ctl::internal {
 
 namespace {
 
-/// Percent-encodes a value for a query string.
-std::string percent_encoded(const std::string& text) {
-    constexpr std::string_view hex_digits = "0123456789ABCDEF";
-    constexpr std::string_view unreserved =
-        "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~";
-    constexpr unsigned bits_per_hex_digit = 4;
-    constexpr unsigned hex_digit_mask = 15;
-    std::string out;
-    for (const char character : text) {
-        const auto byte = static_cast<unsigned char>(character);
-        if (unreserved.find(character) != std::string_view::npos) {
-            out += character;
-        } else {
-            out += '%';
-            out += hex_digits[byte >> bits_per_hex_digit];
-            out += hex_digits[byte & hex_digit_mask];
-        }
-    }
-    return out;
-}
-
 struct address_argument {
     explicit address_argument(TCLAP::CmdLine& parser)
         : text("daemon", "Operator address of the daemon.", true, "", "ADDRESS", parser) {}
@@ -85,7 +66,7 @@
         if (request.isSet() == has_range || since.isSet() != until.isSet()) {
             throw usage_error{"give either --request or both --since-ms and --until-ms"};
         }
-        const std::string query = request.isSet() ? "request=" + percent_encoded(request.getValue())
+        const std::string query = request.isSet() ? "request=" + http::percent_encode(request.getValue())
                                                   : "since_ms=" + std::to_string(since.getValue()) +
                                                         "&until_ms=" + std::to_string(until.getValue());
         timeline merged;
--- a/packages/emulator/src/internal/platform_state.cpp
+++ b/packages/emulator/src/internal/platform_state.cpp
@@ -34,11 +34,13 @@
     const std::size_t slash = text.find('/');
     object_api::object_key key;
     key.kind = std::string(text.substr(0, slash));
+    bool has_one_name = true;
     if (slash != std::string_view::npos) {
-        key.name = std::string(text.substr(slash + 1));
+        const std::string_view name = text.substr(slash + 1);
+        has_one_name = !name.empty() && name.find('/') == std::string_view::npos;
+        key.name = http::percent_decode(name);
     }
-    const bool valid = !key.kind.empty() && (slash == std::string_view::npos || !key.name.empty());
-    return valid && key.name.find('/') == std::string::npos ? std::optional(key) : std::nullopt;
+    return !key.kind.empty() && has_one_name ? std::optional(key) : std::nullopt;
 }
 
 bool modifies_state(const http::request& message) {
--- a/packages/http/include/rattanbay/http/message.hpp
+++ b/packages/http/include/rattanbay/http/message.hpp
@@ -69,7 +69,14 @@
 /// Path of a request target, without the query.
 std::string_view target_path(std::string_view target);
 
-/// Decoded value of a query parameter of a request target.
+/// Encodes a text as a segment of a path or as the value of a query parameter: all bytes but the unreserved
+/// characters of RFC 3986 become percent escapes.
+std::string percent_encode(std::string_view text);
+
+/// Decodes a segment of a path. Percent signs that begin no escape stay as they are.
+std::string percent_decode(std::string_view text);
+
+/// Decoded value of a query parameter of a request target; a plus sign stands for a space.
 std::optional<std::string> query_parameter(std::string_view target, std::string_view name);
 
 /// Response with a JSON body.
--- a/packages/object_api/include/rattanbay/object_api/http_mapping.hpp
+++ b/packages/object_api/include/rattanbay/object_api/http_mapping.hpp
@@ -37,8 +37,8 @@
     virtual std::uint64_t era(const http::response& response) const;
 };
 
-/// Encodes a call as an HTTP request. Kinds and names are put into the path without escaping; the value of a
-/// write is sent unchanged as the body.
+/// Encodes a call as an HTTP request. Names are percent-encoded in the path, kinds are words of the protocol
+/// and are not; the value of a write is sent unchanged as the body.
 http_call to_http(const call& request);
 
 /// Decodes the answer to a call from its HTTP response or from the error of the exchange. The result is one
--- a/packages/object_api/src/http_mapping.cpp
+++ b/packages/object_api/src/http_mapping.cpp
@@ -17,7 +17,7 @@
 constexpr int status_precondition_failed = 412;
 
 std::string object_path(std::string_view root, const object_key& key) {
-    return std::string(root) + key.kind + "/" + key.name;
+    return std::string(root) + key.kind + "/" + http::percent_encode(key.name);
 }
 
 std::string watch_query(const store_revision& after, base::duration wait) {
--- a/packages/object_api/test/http_mapping_test.cpp
+++ b/packages/object_api/test/http_mapping_test.cpp
@@ -75,6 +75,16 @@
     }
 }
 
+// Guards against a name that changes the meaning of the path that contains it.
+BOOST_AUTO_TEST_CASE(names_are_encoded_in_paths) {
+    const object_api::object_key odd{"documents", "a b/c?d#e%41"};
+    const std::string encoded = "documents/a%20b%2Fc%3Fd%23e%2541";
+    BOOST_TEST(request_line(object_api::to_http(object_api::read_object{odd}).message) ==
+               "GET /v1/objects/" + encoded);
+    BOOST_TEST(request_line(object_api::to_http(object_api::watch_object{odd, {0, 4}, 2500ms}).message) ==
+               "GET /v1/watch/" + encoded + "?after=4&wait_ms=2500");
+}
+
 // Guards against an unconditional write or deletion and against one that is retried.
 BOOST_AUTO_TEST_CASE(writes_and_deletions_are_conditional_and_not_retried) {
     const object_api::http_call write = object_api::to_http(write_call);
