Find the configuration behind entries of other writers

What callers would see: 503 from every daemon that has started anew, if entries of other writers fill the first page of the kind that holds the configuration.

Cause: to learn the revision from which it watches, a daemon reads the configuration from the list of its kind, and read one page of it. If the object was not there, the answer was that nothing had changed, and the daemon went on to watch from a revision that it had not read.

With one page, which is the usual case, the calls are the same as before.

--- a/packages/daemon/src/document_synchronizer.cpp
+++ b/packages/daemon/src/document_synchronizer.cpp
@@ -118,7 +118,7 @@
         // The first read shows what the daemon serves from, so it is never from an old state.
         const bool may_be_stale = !role_.is_reader() && !watched_version_.is_unset();
         const object_api::watch_object request{key, watched_version_, failures.wait(), may_be_stale};
-        object_api::answer answer = co_await platform_.call(request);
+        object_api::answer answer = co_await call_through_pages(request);
         if (generation != watch_generation_) {
             co_return;
         }
@@ -140,6 +140,18 @@
     }
 }
 
+asio::awaitable<object_api::answer>
+document_synchronizer::call_through_pages(object_api::watch_object request) {
+    while (true) {
+        object_api::answer answer = co_await platform_.call(request);
+        const object_api::on_later_page* const found = std::get_if<object_api::on_later_page>(&answer);
+        if (found == nullptr) {
+            co_return answer;
+        }
+        request.page_after = found->next_after;
+    }
+}
+
 base::duration document_synchronizer::read_interval() const {
     const std::size_t members = shared_.members.read()->members.size();
     const base::duration shared_interval = cluster_read_interval * static_cast<std::int64_t>(members);
@@ -153,7 +165,7 @@
         const bool is_reader = role_.is_reader();
         const object_api::watch_object request{
             config::document_object::key(shared_.settings.environment), {}, {}, !is_reader};
-        object_api::answer answer = co_await platform_.call(request);
+        object_api::answer answer = co_await call_through_pages(request);
         if (object_api::object* object = std::get_if<object_api::object>(&answer)) {
             const object_api::store_revision store_version = object->store_version;
             co_await offer(std::move(object->value), "read", platform_.era());
--- a/packages/daemon/src/internal/document_synchronizer.hpp
+++ b/packages/daemon/src/internal/document_synchronizer.hpp
@@ -91,6 +91,8 @@
     /// Reads the document and watches it anew after the store came back from a copy, whose revisions are
     /// unrelated to those of the running watch.
     void watch_anew();
+    /// Makes a call for the document and, if it is answered from a list, reads on to the page that shows it.
+    asio::awaitable<object_api::answer> call_through_pages(object_api::watch_object request);
     base::duration read_interval() const;
     asio::awaitable<void> read_periodically();
     asio::awaitable<void> fetch_wanted();
--- a/packages/emulator/src/internal/platform_json.cpp
+++ b/packages/emulator/src/internal/platform_json.cpp
@@ -69,6 +69,8 @@
 
     http::response operator()(const object_api::object_name_changes&) const { return unsupported(); }
 
+    http::response operator()(const object_api::on_later_page&) const { return unsupported(); }
+
 private:
     static http::response unsupported() { return error_response(500, "not an answer of this platform"); }
 
--- a/packages/object_api/include/rattanbay/object_api/answer.hpp
+++ b/packages/object_api/include/rattanbay/object_api/answer.hpp
@@ -48,6 +48,12 @@
     store_revision version{};
 };
 
+/// The page that was read does not show the object, and the list continues.
+struct on_later_page {
+    /// Cursor of the next page.
+    std::string next_after;
+};
+
 /// The platform no longer has the history since the version of the watch; the state must be read again.
 struct history_lost {
     /// Era of the store; 0 on platforms without eras.
@@ -112,6 +118,6 @@
 
 using answer =
     std::variant<object, written, deleted, conflict, not_found, unchanged, history_lost, object_list, vm_list,
-                 vm_page, vm_changes, failed, object_names, object_name_changes>;
+                 vm_page, vm_changes, failed, object_names, object_name_changes, on_later_page>;
 
 } // namespace rattanbay::object_api
--- a/packages/object_api/include/rattanbay/object_api/call.hpp
+++ b/packages/object_api/include/rattanbay/object_api/call.hpp
@@ -65,12 +65,15 @@
 };
 
 /// Waits until an object changes after the revision `after`; answered by `object`, `unchanged`,
-/// `history_lost` or `failed`. With `after` unset it is answered immediately.
+/// `history_lost` or `failed`. With `after` unset it is answered immediately; platforms that look the object
+/// up in a list answer `on_later_page` if the page does not show it and the list continues.
 struct watch_object {
     object_key key;
     store_revision after{};
     base::duration wait{};
     bool may_be_stale = false;
+    /// Cursor of the page to read if `after` is unset; empty for the first page.
+    std::string page_after = {};
 };
 
 /// Reads the VM list or a page of it; answered by `vm_list`, `vm_page` or `failed`.
