Read all pages of the list of daemons

What operators would see: daemons that have no reachable seed do not find each other, so that each counts as the only one, if entries of other writers or of former daemons fill the first page of the list in which daemons register.

Cause: list_objects had no cursor, and its answer dropped that the list goes on.

Change: list_objects and object_list carry the cursor of the page, like the other lists, and daemon_registry reads to the end. A list of one page takes one call as before.

Evidence: without the cursor in the answer, odd_entry/daemons_find_each_other_behind_other_entries failed (two daemons without seeds, two entries before theirs); it passes now.

--- a/packages/daemon/src/daemon_registry.cpp
+++ b/packages/daemon/src/daemon_registry.cpp
@@ -99,20 +99,31 @@
         asio::detached);
 }
 
-asio::awaitable<void> daemon_registry::run() {
-    co_await register_self();
-    while (true) {
-        // An entry that is missed leads to a daemon that others know.
-        const object_api::list_objects request{std::string(registry_kind), true};
+asio::awaitable<void> daemon_registry::discover() {
+    // An entry that is missed leads to a daemon that others know.
+    object_api::list_objects request{std::string(registry_kind), true};
+    std::optional<std::string> next_page = std::string();
+    while (next_page) {
+        request.after = *next_page;
         const object_api::answer answer = co_await platform_.call(request);
-        if (const object_api::object_list* list = std::get_if<object_api::object_list>(&answer)) {
-            for (const object_api::object_list::row& row : list->objects) {
-                const std::optional<base::address> other = parse_registry_name(row.name);
-                if (other && !is_member(*other)) {
-                    co_await on_discovered_(*other);
-                }
+        const object_api::object_list* const page = std::get_if<object_api::object_list>(&answer);
+        if (page == nullptr) {
+            co_return;
+        }
+        for (const object_api::object_list::row& row : page->objects) {
+            const std::optional<base::address> other = parse_registry_name(row.name);
+            if (other && !is_member(*other)) {
+                co_await on_discovered_(*other);
             }
         }
+        next_page = page->next_after;
+    }
+}
+
+asio::awaitable<void> daemon_registry::run() {
+    co_await register_self();
+    while (true) {
+        co_await discover();
         const bool is_alone = shared_.members.read()->members.size() <= 1;
         const base::duration interval = is_alone ? lone_read_interval : read_interval;
         co_await platform_.sleep_about(interval);
--- a/packages/daemon/src/internal/daemon_registry.hpp
+++ b/packages/daemon/src/internal/daemon_registry.hpp
@@ -25,6 +25,8 @@
 
 private:
     asio::awaitable<void> run();
+    /// Reads all entries and reports the daemons that are no members.
+    asio::awaitable<void> discover();
     /// Writes the daemon's entry unless it is there, until the store of the newest era has answered.
     asio::awaitable<void> register_self();
     /// Writes the entry again after the store came back from a copy, which may not contain it.
--- a/packages/object_api/include/rattanbay/object_api/answer.hpp
+++ b/packages/object_api/include/rattanbay/object_api/answer.hpp
@@ -85,7 +85,7 @@
     store_revision newest_change{};
 };
 
-/// Names and versions of the objects of a kind.
+/// Names and versions of the objects of a kind, or a page of them.
 struct object_list {
     struct row {
         std::string name;
@@ -93,6 +93,8 @@
     };
 
     std::vector<row> objects;
+    /// Cursor of the next page; nothing if this is the last page.
+    std::optional<std::string> next_after = std::nullopt;
 };
 
 /// A page of the names of the objects of a kind, without those that are being deleted.
--- a/packages/object_api/include/rattanbay/object_api/call.hpp
+++ b/packages/object_api/include/rattanbay/object_api/call.hpp
@@ -45,11 +45,13 @@
     std::uint64_t expected_version = 0;
 };
 
-/// Lists the objects of a kind; answered by `object_list` or `failed`.
+/// Lists the objects of a kind or a page of them; answered by `object_list` or `failed`.
 struct list_objects {
     std::string kind;
     /// Whether the answer may show an older state of the store, which some platforms offer at a lower price.
     bool may_be_stale = false;
+    /// Cursor of the page; empty for the first page.
+    std::string after = {};
 };
 
 /// Waits until an object of a kind is created, changed or removed after the revision `after`; answered by
