Leave out entries whose name no header field can contain

What could happen: the name of an entry is sent in a header field of each request to the replica that it describes. An entry of another writer that is complete, under a name with a line break, added header fields of its own to these requests, such as the account's; one that begins or ends with a blank was changed on the way, so that the replica refused all requests.

Change: http::is_field_value says whether a text can be sent unchanged as a field value; an entry with another name counts as unusable and names no replica.

Evidence: with the former check for an empty name, store_protocol/a_name_that_no_header_field_can_contain_names_no_replica failed for all five names; it passes now.

--- a/packages/http/include/rattanbay/http.hpp
+++ b/packages/http/include/rattanbay/http.hpp
@@ -6,6 +6,7 @@
 /// - client_connection.hpp: one client connection, used by one exchange at a time
 /// - closed_connection.hpp: report of a connection of a server that has ended
 /// - connection_pool.hpp: pool of idle client connections
+/// - field_value.hpp: which texts can be sent in header fields
 /// - liveness_probes.hpp: probes that find connections which the other side has lost
 /// - descriptor_budget.hpp: descriptors that the connections of a process share
 /// - memory_budget.hpp: memory that a process holds for others
@@ -19,6 +20,7 @@
 #include <rattanbay/http/closed_connection.hpp>
 #include <rattanbay/http/connection_pool.hpp>
 #include <rattanbay/http/descriptor_budget.hpp>
+#include <rattanbay/http/field_value.hpp>
 #include <rattanbay/http/liveness_probes.hpp>
 #include <rattanbay/http/memory_budget.hpp>
 #include <rattanbay/http/message.hpp>
