Log attempts that repeat an exchange, and forwarded statuses

The log could not tell whether an endpoint's refusal came on a connection that had carried the same request before, nor which status of an endpoint a client got. relay_attempt_failed has repeats_exchange and relay_ended has endpoint_status now.

--- a/packages/daemon/src/internal/relay_attempt.hpp
+++ b/packages/daemon/src/internal/relay_attempt.hpp
@@ -56,6 +56,10 @@
     /// Whether the stream ended inside an event.
     bool has_partial_event() const { return splitter_.has_partial_event(); }
 
+    /// Whether the last exchange on the kept connection before this one was of the same request, so that the
+    /// identifier in a response does not tell which of the two it answers.
+    bool repeats_exchange() const { return earlier_request_ == request_.text(); }
+
     /// Takes over the memory of the body, which was moved out of the attempt.
     http::response_memory::share take_memory() { return std::move(held_); }
 
--- a/packages/daemon/src/internal/relay_run.hpp
+++ b/packages/daemon/src/internal/relay_run.hpp
@@ -160,6 +160,8 @@
     /// Error response of an endpoint, forwarded if no other attempt succeeds.
     std::optional<http::response> failure_response_;
     std::optional<http::response_memory::share> failure_memory_;
+    /// Status of the endpoint's complete response that the client gets.
+    std::optional<int> forwarded_status_;
     /// Identifier of the last event that was forwarded.
     std::optional<std::string> last_event_id_;
     bool stream_started_ = false;
--- a/packages/daemon/src/relay_result.cpp
+++ b/packages/daemon/src/relay_result.cpp
@@ -57,6 +57,7 @@
                         {"address", current.endpoint.address.text()},
                         {"end", std::string(base::to_name(result))},
                         {"reused_connection", current.reused ? "true" : "false"},
+                        {"repeats_exchange", current.repeats_exchange() ? "true" : "false"},
                         {"began", current.first_byte ? "true" : "false"},
                         {"attempt", std::to_string(current.number)},
                         {"took_ms", std::to_string(base::to_milliseconds(end_time - current.start))},
@@ -85,6 +86,7 @@
         co_return;
     }
     if (failure_response_) {
+        forwarded_status_ = failure_response_->status;
         log_result("endpoint_failed");
         co_await out.send(std::move(*failure_response_));
         co_return;
@@ -133,6 +135,7 @@
          {"endpoint", tried_endpoints_.empty() ? "" : tried_endpoints_.back().text()},
          {"attempts", std::to_string(tried_endpoints_.size())},
          {"result", std::string(result)},
+         {"endpoint_status", forwarded_status_ ? std::to_string(*forwarded_status_) : ""},
          {"took_ms", std::to_string(base::to_milliseconds(elapsed))},
          {"stages_ms", stages_ ? stages_->timings() : ""},
          {"sent_ms", time_to_send_ ? std::to_string(base::to_milliseconds(*time_to_send_)) : ""},
--- a/packages/daemon/src/relay_run.cpp
+++ b/packages/daemon/src/relay_run.cpp
@@ -474,6 +474,7 @@
         co_return relay::attempt_result::answered_with_failure;
     }
     quarantine_->record_answer(shared_parts_);
+    forwarded_status_ = response.status;
     const base::result<void> sent = co_await out.send(std::move(response));
     if (!sent) {
         current.detail = sent.error().message;
