Send a request over a connection once only

The same request could be sent a second time over one kept connection: to the successor of a crashed endpoint, whose entry stands beside the former one at the same address, or when a client sends a refused request again. The endpoint sends the copy of its first refusal ahead of the real answer. The copy has the identifier of the request that is under way, so it was taken for the answer: the client got 503, or the booking went to another endpoint.

An identifier tells answers apart only if the connection has carried it once. A request now opens a new connection to an address to which it was sent before, and takes no kept connection whose last exchange had its identifier.

repeated_refusal failed before: 503 for a booking that ran, two runs of one booking, and 503 for one that was sent again.

--- a/packages/daemon/src/internal/relay_attempt.hpp
+++ b/packages/daemon/src/internal/relay_attempt.hpp
@@ -34,7 +34,8 @@
     /// Ends the attempt, on the request's executor, if the endpoint is found to have ended.
     void watch_endpoint(const asio::any_io_executor& executor);
 
-    /// Takes a connection that was idle for at most `max_idle` or opens one. Returns whether it has one.
+    /// Takes a connection that was idle for at most `max_idle`, unless that is 0, or opens one. Returns
+    /// whether it has one. No connection whose last exchange was of this request is taken.
     asio::awaitable<bool> connect(asio::any_io_executor executor, base::duration max_idle,
                                   base::duration limit);
 
--- a/packages/daemon/src/internal/relay_run.hpp
+++ b/packages/daemon/src/internal/relay_run.hpp
@@ -75,6 +75,8 @@
     asio::awaitable<void> make_attempts(http::responder& out);
     std::optional<relay::chosen_endpoint> choose_endpoint();
     std::shared_ptr<relay_attempt> begin_attempt(const relay::chosen_endpoint& endpoint);
+    /// Idle time up to which a kept connection is used for the attempt; 0 for a new connection.
+    base::duration max_idle_time(const relay_attempt& current) const;
     /// Connects and sends the request with its inputs, which have to exist. Returns the result if that fails.
     asio::awaitable<std::optional<relay::attempt_result>> send_attempt(relay_attempt& current);
     asio::awaitable<relay::attempt_result> perform_attempt(relay_attempt& current, http::responder& out);
@@ -149,6 +151,8 @@
     /// Failure domain where the results of the input stages are placed and the request should run.
     base::failure_domain preferred_domain_;
     std::vector<base::endpoint_id> tried_endpoints_;
+    /// Addresses to which the request was sent. An endpoint may have a new identifier at one of them.
+    std::vector<base::address> used_addresses_;
     /// Attempts whose request was sent, also those in progress, and attempts that failed before that.
     std::size_t sent_attempts_ = 0;
     /// Sent attempts that reached another endpoint than the one they were meant for.
--- a/packages/daemon/src/relay_attempt.cpp
+++ b/packages/daemon/src/relay_attempt.cpp
@@ -53,7 +53,9 @@
 
 asio::awaitable<bool> relay_attempt::connect(asio::any_io_executor executor, base::duration max_idle,
                                              base::duration limit) {
-    connection_ = relay_.pool.acquire(endpoint.address, max_idle);
+    if (max_idle > base::duration::zero()) {
+        connection_ = relay_.pool.acquire(endpoint.address, max_idle, request_.text());
+    }
     reused = connection_ != nullptr;
     if (connection_) {
         earlier_request_ = connection_->last_exchange();
--- a/packages/daemon/src/relay_run.cpp
+++ b/packages/daemon/src/relay_run.cpp
@@ -367,10 +367,18 @@
            budget->second->try_spend(now(), std::max<std::size_t>(1, relay_.live_daemons.load()));
 }
 
+base::duration relay_run::max_idle_time(const relay_attempt& current) const {
+    // A second copy of the answer to an earlier attempt may be under way on a kept connection. It names this
+    // request, so that it cannot be told from the answer to the next attempt.
+    if (std::ranges::find(used_addresses_, current.endpoint.address) != used_addresses_.end()) {
+        return base::duration::zero();
+    }
+    return is_repeatable(*input_.route) ? base::duration(http::connection_pool::max_idle_time)
+                                        : base::duration(max_unrepeatable_idle);
+}
+
 asio::awaitable<std::optional<relay::attempt_result>> relay_run::send_attempt(relay_attempt& current) {
-    const base::duration max_idle =
-        is_repeatable(*input_.route) ? http::connection_pool::max_idle_time : max_unrepeatable_idle;
-    const bool connected = co_await current.connect(executor_, max_idle, remaining_time());
+    const bool connected = co_await current.connect(executor_, max_idle_time(current), remaining_time());
     if (!connected && !current.cancelled && !client_disconnected_ &&
         remaining_time() > base::duration::zero()) {
         relay_.record_unreachable(current.endpoint.id);
@@ -399,6 +407,7 @@
         options.inputs = stages_->inputs();
     }
     ++sent_attempts_;
+    used_addresses_.push_back(current.endpoint.address);
     // The body stays with the request: an endpoint that has lost its address to another one declines it.
     current.send(relay_.protocol->write_request(input_.request, options), remaining_time());
     schedule_input_release();
--- a/packages/http/include/rattanbay/http/connection_pool.hpp
+++ b/packages/http/include/rattanbay/http/connection_pool.hpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <string_view>
 
 namespace rattanbay::http {
 
@@ -32,9 +33,12 @@
     static constexpr std::chrono::seconds sweep_interval{1};
 
     /// Returns the most recently used idle connection to the address that was idle for at most
-    /// `max_idle`, or null. Skips connections that the server has closed or is about to close.
+    /// `max_idle`, or null. Skips connections that the server has closed or is about to close, and those
+    /// whose last exchange has the identifier `exchange`: a second copy of its response could not be told
+    /// from the response to the next exchange.
     std::unique_ptr<client_connection> acquire(const base::address& address,
-                                               base::duration max_idle = max_idle_time);
+                                               base::duration max_idle = max_idle_time,
+                                               std::string_view exchange = {});
 
     /// Keeps a reusable connection for later, closes any other.
     void release(std::unique_ptr<client_connection> connection);
--- a/packages/http/src/connection_pool.cpp
+++ b/packages/http/src/connection_pool.cpp
@@ -44,8 +44,8 @@
 
 } // namespace
 
-std::unique_ptr<client_connection> connection_pool::acquire(const base::address& address,
-                                                            base::duration max_idle) {
+std::unique_ptr<client_connection>
+connection_pool::acquire(const base::address& address, base::duration max_idle, std::string_view exchange) {
     const std::chrono::steady_clock::time_point now = std::chrono::steady_clock::now();
     const std::lock_guard<std::mutex> lock(mutex_);
     const auto it = idle_.find(address);
@@ -58,9 +58,12 @@
         --idle_count_;
     }
     std::unique_ptr<client_connection> usable;
-    while (!usable && !list.empty() && now - list.back().idle_since <= max_idle) {
-        idle_connection candidate = std::move(list.back());
-        list.pop_back();
+    for (std::size_t n = list.size(); n > 0 && !usable && now - list[n - 1].idle_since <= max_idle; --n) {
+        if (!exchange.empty() && list[n - 1].connection->last_exchange() == exchange) {
+            continue;
+        }
+        idle_connection candidate = std::move(list[n - 1]);
+        list.erase(list.begin() + static_cast<std::ptrdiff_t>(n - 1));
         --idle_count_;
         // A request that is sent while the server closes the connection gets no response, so a
         // connection is reused only during the first half of the announced keep-alive timeout.
