Withhold an endpoint's refusal status after a booking may have run

Callers were told 503 for a booking that had run, and sent it again. The statuses 408, 421, 429 and 503 promise clients that nothing has run, but of an endpoint's answer only its statement that it did not run the request does. An endpoint that runs a booking and then fails with such a status had its answer passed on as it was.

For work that may run once, such an answer without the statement is now replaced by 502, which promises nothing. Work that may be repeated gets the endpoint's answer as before.

--- a/packages/daemon/src/relay_result.cpp
+++ b/packages/daemon/src/relay_result.cpp
@@ -106,7 +106,9 @@
     const bool timed_out = last_result_ == relay::attempt_result::timed_out;
     const base::problem_kind kind =
         timed_out ? base::problem_kind::deadline_exceeded : base::problem_kind::stage_failed;
-    std::string detail = timed_out ? "no answer came in time" : "the connection to the endpoint broke";
+    const bool failed = last_result_ == relay::attempt_result::answered_with_failure;
+    const std::string_view broken = failed ? "the endpoint failed" : "the connection to the endpoint broke";
+    std::string detail(timed_out ? "no answer came in time" : broken);
     co_await send_problem(out, kind, base::outcome::unknown, std::move(detail));
 }
 
--- a/packages/daemon/src/relay_run.cpp
+++ b/packages/daemon/src/relay_run.cpp
@@ -455,7 +455,8 @@
 
 asio::awaitable<relay::attempt_result> relay_run::forward_response(relay_attempt& current,
                                                                    http::responder& out) {
-    const bool is_failure = current.header.status >= min_server_error_status;
+    const bool is_unproven_refusal = relay::is_unproven_refusal(current.header, input_.route->retry);
+    const bool is_failure = current.header.status >= min_server_error_status || is_unproven_refusal;
     const bool is_answer = !is_failure && !stream_started_;
     if (is_answer) {
         // A replacement in progress is kept until the body is whole.
@@ -476,6 +477,10 @@
         current.detail = "status " + std::to_string(response.status) + " instead of the rest of the stream";
         co_return relay::attempt_result::answered_with_failure;
     }
+    if (is_unproven_refusal) {
+        current.detail = "status " + std::to_string(response.status) + ", but the request may have run";
+        co_return relay::attempt_result::answered_with_failure;
+    }
     if (is_failure) {
         current.detail = "status " + std::to_string(response.status);
         failure_response_ = std::move(response);
--- a/packages/relay/include/rattanbay/relay/attempt_rules.hpp
+++ b/packages/relay/include/rattanbay/relay/attempt_rules.hpp
@@ -43,6 +43,10 @@
 bool is_refusal_of(const endpoint_response_header& header, const base::request_id& id,
                    bool is_first_on_connection);
 
+/// Whether clients would take the response for a refusal of a request that may run once, though the endpoint
+/// does not say that it was not run. Such a response must not be passed on.
+bool is_unproven_refusal(const endpoint_response_header& header, config::retry_mode rule);
+
 /// Whether the header belongs to a response to request `id` whose status, fields and body may be passed on to
 /// the client.
 bool is_response_to(const endpoint_response_header& header, const base::request_id& id);
--- a/packages/relay/include/rattanbay/relay/messages.hpp
+++ b/packages/relay/include/rattanbay/relay/messages.hpp
@@ -89,6 +89,8 @@
     bool is_signed = false;
     /// Whether the endpoint reports that it has not run the request and never will.
     bool not_run = false;
+    /// Whether the status alone tells clients that the request has not run and never will.
+    bool has_refusal_status = false;
     /// Whether another endpoint than the expected one received the request, at the expected one's address.
     bool is_misdirected = false;
     /// Whether the body is a stream of events.
--- a/packages/relay/src/attempt_rules.cpp
+++ b/packages/relay/src/attempt_rules.cpp
@@ -43,6 +43,10 @@
     return header.not_run && (header.request_id ? header.request_id == id : is_first_on_connection);
 }
 
+bool is_unproven_refusal(const endpoint_response_header& header, config::retry_mode rule) {
+    return rule == config::retry_mode::at_most_once && header.has_refusal_status && !header.not_run;
+}
+
 bool is_response_to(const endpoint_response_header& header, const base::request_id& id) {
     constexpr int first_success_status = 200;
     constexpr int first_redirect_status = 300;
--- a/packages/relay/test/rules_test.cpp
+++ b/packages/relay/test/rules_test.cpp
@@ -62,6 +62,20 @@
     BOOST_TEST(!relay::is_refusal_of(header, id, true));
 }
 
+// Guards against telling a client that work was not run when only the status of the endpoint says so.
+BOOST_AUTO_TEST_CASE(a_refusal_of_work_that_may_run_once_needs_the_statement_of_the_endpoint) {
+    relay::endpoint_response_header header;
+    header.status = 503;
+    header.has_refusal_status = true;
+    BOOST_TEST(relay::is_unproven_refusal(header, config::retry_mode::at_most_once));
+    BOOST_TEST(!relay::is_unproven_refusal(header, config::retry_mode::idempotent));
+    header.not_run = true;
+    BOOST_TEST(!relay::is_unproven_refusal(header, config::retry_mode::at_most_once));
+    header = {};
+    header.status = 500;
+    BOOST_TEST(!relay::is_unproven_refusal(header, config::retry_mode::at_most_once));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(resend_budget)
