Do not append another run to a stream that cannot be resumed

Callers got the events of two runs in one answer, marked as complete. On a route that may be repeated but not resumed, the daemon sent a request again after events had reached the client, and so it did on a resumable route after events without identifiers, where nothing tells the other endpoint where to go on.

Once events have been forwarded, a request goes to another endpoint only if its route is resumable and an identifier was seen. Otherwise the answer ends as incomplete, and the client repeats the request.

--- a/packages/daemon/src/relay_replacement.cpp
+++ b/packages/daemon/src/relay_replacement.cpp
@@ -72,7 +72,7 @@
 }
 
 replacement_decision relay_run::decide_replacement() {
-    if (has_used_attempts()) {
+    if (has_used_attempts() || !may_run_elsewhere()) {
         return replacement_decision::no_attempt;
     }
     if (!can_have_inputs()) {
--- a/packages/daemon/src/relay_run.cpp
+++ b/packages/daemon/src/relay_run.cpp
@@ -349,8 +349,14 @@
     }
 }
 
+bool relay_run::may_run_elsewhere() const {
+    const bool can_resume =
+        input_.route->retry == config::retry_mode::resumable && last_event_id_.has_value();
+    return !stream_started_ || can_resume;
+}
+
 bool relay_run::should_retry(relay::attempt_result result) {
-    const bool allowed = !client_disconnected_ && !ended_early_ &&
+    const bool allowed = may_run_elsewhere() && !client_disconnected_ && !ended_early_ &&
                          remaining_time() > base::duration::zero() &&
                          relay::may_resend(result, input_.route->retry) && !has_used_attempts() &&
                          unsent_attempts_ < max_unsent_attempts &&
