Carry the software version of a VM in the VM list

Endpoints of several software versions may serve one service, and what two versions write in one stream does not fit together. Daemons did not know the version of an endpoint.

The entry of a VM has it now as an opaque text, and messages with VM lists carry it. It is the last field on the wire: daemons of the earlier version ignore it, and entries of such daemons are read with an empty version.

--- a/packages/object_api/include/rattanbay/object_api/vm_list.hpp
+++ b/packages/object_api/include/rattanbay/object_api/vm_list.hpp
@@ -6,6 +6,7 @@
 #include <rattanbay/object_api/store_revision.hpp>
 
 #include <cstdint>
+#include <string>
 #include <vector>
 
 namespace rattanbay::object_api {
@@ -27,6 +28,9 @@
     std::uint64_t started_ms = 0;
     /// Time for which the VM reports to remain slow after its start, in milliseconds; 0 if it is not.
     std::uint64_t cold_left_ms = 0;
+    /// Version of the VM's software; empty if the entry does not tell it. It is opaque: versions are only
+    /// compared for equality.
+    std::string software_version{};
 
     friend bool operator==(const vm&, const vm&) = default;
 };
--- a/packages/peer/src/internal/wire.hpp
+++ b/packages/peer/src/internal/wire.hpp
@@ -173,7 +173,7 @@
         packer<Stream>& operator()(packer<Stream>& out, const rattanbay::object_api::vm& value) const {
             const bool leaving = value.state == rattanbay::object_api::vm_state::leaving;
             wire::pack_fields(out, value.id, value.service, value.address, value.failure_domain, leaving,
-                              value.slots, value.started_ms, value.cold_left_ms);
+                              value.slots, value.started_ms, value.cold_left_ms, value.software_version);
             return out;
         }
     };
@@ -187,6 +187,7 @@
             constexpr std::uint32_t started_ms_index = 6;
             wire::unpack_optional_field(from, started_ms_index, value.started_ms);
             wire::unpack_optional_field(from, started_ms_index + 1, value.cold_left_ms);
+            wire::unpack_optional_field(from, started_ms_index + 2, value.software_version);
             value.state =
                 leaving ? rattanbay::object_api::vm_state::leaving : rattanbay::object_api::vm_state::live;
             return from;
--- a/packages/peer/test/codec_test.cpp
+++ b/packages/peer/test/codec_test.cpp
@@ -35,6 +35,20 @@
     return record;
 }
 
+object_api::vm sample_vm() {
+    object_api::vm out;
+    out.id = base::vm_id("e1");
+    out.service = base::service_name("s");
+    out.address = {{127, 0, 0, 1}, 80};
+    out.failure_domain = base::failure_domain("b");
+    out.state = object_api::vm_state::leaving;
+    out.slots = 4;
+    out.started_ms = 1234567890123;
+    out.cold_left_ms = 2500;
+    out.software_version = "2.1.0";
+    return out;
+}
+
 relay::part_record sample_part() {
     return {~0ULL, 3, std::chrono::seconds(4), std::chrono::seconds(5), true, 2, -std::chrono::seconds(6)};
 }
@@ -63,6 +77,29 @@
 }
 
 // Guards against a field of a message being lost or swapped during encoding.
+// Guards against VM lists that daemons of another version cannot read. Earlier versions send entries without
+// the software version, the cold time or the start, and read the first fields of ours by their position.
+BOOST_AUTO_TEST_CASE(vm_entries_of_other_versions_are_read) {
+    object_api::vm expected = sample_vm();
+    msgpack::sbuffer buf;
+    msgpack::pack(buf, expected);
+    const msgpack::object_handle handle = msgpack::unpack(buf.data(), buf.size());
+    msgpack::object packed = handle.get();
+    BOOST_CHECK(packed.as<object_api::vm>() == expected);
+    BOOST_TEST(packed.via.array.size == 9U);
+    BOOST_TEST(packed.via.array.ptr[6].as<std::uint64_t>() == expected.started_ms);
+    BOOST_TEST(packed.via.array.ptr[7].as<std::uint64_t>() == expected.cold_left_ms);
+    packed.via.array.size -= 1;
+    expected.software_version.clear();
+    BOOST_CHECK(packed.as<object_api::vm>() == expected);
+    packed.via.array.size -= 1;
+    expected.cold_left_ms = 0;
+    BOOST_CHECK(packed.as<object_api::vm>() == expected);
+    packed.via.array.size -= 1;
+    expected.started_ms = 0;
+    BOOST_CHECK(packed.as<object_api::vm>() == expected);
+}
+
 BOOST_AUTO_TEST_CASE(messages_survive_the_wire) {
     const peer::datagram sent =
         peer::indirect_ping{9, {{127, 0, 1, 2}, 7000}, sample_record(1), {sample_record(2)}};
@@ -88,7 +125,8 @@
                                                    base::service_name("s"),
                                                    {{127, 0, 0, 1}, 80},
                                                    base::failure_domain("b"),
-                                                   object_api::vm_state::leaving}}},
+                                                   object_api::vm_state::leaving},
+                                    sample_vm()}},
                                   {sample_record(4)},
                                   {11, 12},
                                   "deflated",
@@ -203,15 +241,7 @@
     sent.update.after = {2, 31};
     sent.update.changes.version = {2, 40};
     sent.update.changes.newest_change = {2, 38};
-    object_api::vm changed;
-    changed.id = base::vm_id("e1");
-    changed.service = base::service_name("s");
-    changed.address = {{127, 0, 0, 1}, 80};
-    changed.failure_domain = base::failure_domain("b");
-    changed.state = object_api::vm_state::leaving;
-    changed.slots = 4;
-    changed.started_ms = 1234567890123;
-    sent.update.changes.changed = {changed};
+    sent.update.changes.changed = {sample_vm()};
     sent.update.changes.removed = {base::vm_id("e2")};
     const base::result<peer::datagram> read =
         peer::decode_datagram(peer::encode(peer::datagram(sent), secret), secret);
