Let the balancer choose endpoints of one software version

A stream may go on only at an endpoint of the version that began it. A query can require a version, the chosen endpoint tells its own, and the balancer reports the versions that the listed endpoints of a service have, whether an endpoint of a version accepts work, and the services with endpoints.

--- a/packages/relay/include/rattanbay/relay/balancer.hpp
+++ b/packages/relay/include/rattanbay/relay/balancer.hpp
@@ -35,6 +35,8 @@
     /// Calls of this daemon in progress at the endpoint, and endpoints that could be chosen; for the log.
     std::uint32_t running = 0;
     std::uint32_t candidates = 0;
+    /// Version of its software; empty if it is not known.
+    std::string software_version{};
 };
 
 /// Limit on requests to an endpoint, in requests per second.
@@ -57,6 +59,9 @@
     std::uint32_t max_running = 0;
     /// Power of the speed of an endpoint by which requests are shared out.
     double speed_exponent = engine_speeds::usual_exponent;
+    /// Only endpoints of this software version are chosen; nothing for any. An empty text stands for the
+    /// endpoints whose version is not known, which need not be the same.
+    std::optional<std::string> software_version = std::nullopt;
 };
 
 /// Load balancer that chooses endpoints by this daemon's calls in progress, the load that endpoints report
@@ -144,6 +149,16 @@
     /// Endpoints of the service that accept work.
     std::vector<pool_endpoint> available_endpoints(const base::service_name& service) const;
 
+    /// Services with listed endpoints, in the order of their names.
+    std::vector<base::service_name> services() const;
+
+    /// Software versions of all listed endpoints of the service, also of those that accept no work. Contains
+    /// an empty text if the version of one is not known.
+    std::set<std::string> software_versions(const base::service_name& service) const;
+
+    /// Whether a listed endpoint of the service with this software version accepts work.
+    bool has_version(const base::service_name& service, const std::string& version) const;
+
     /// Calls of this daemon in progress at the endpoint.
     std::uint32_t calls_in_progress(const base::endpoint_id& endpoint) const;
 
--- a/packages/relay/src/balancer.cpp
+++ b/packages/relay/src/balancer.cpp
@@ -190,7 +190,8 @@
         const bool tried = std::ranges::find(query.excluded, id) != query.excluded.end();
         const bool full = query.max_running > 0 && state.running >= query.max_running;
         const bool ejected = now < state.ejected_until;
-        if (wants_work && !tried && !full && (include_ejected || !ejected)) {
+        const bool fits = !query.software_version || state.vm.software_version == *query.software_version;
+        if (fits && wants_work && !tried && !full && (include_ejected || !ejected)) {
             const double speed_weight = it->second.size() < min_engines_for_speeds
                                             ? 1
                                             : speeds_.weight(state.key, query.speed_exponent, now);
@@ -246,7 +247,8 @@
                            vm.failure_domain,
                            vm.started_ms,
                            best->state->running,
-                           static_cast<std::uint32_t>(from.size())};
+                           static_cast<std::uint32_t>(from.size()),
+                           vm.software_version};
 }
 
 void balancer::begin_call(const base::endpoint_id& endpoint, base::time_point now) {
@@ -447,6 +449,36 @@
     return out;
 }
 
+std::vector<base::service_name> balancer::services() const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    std::vector<base::service_name> out;
+    for (const auto& row : by_service_) {
+        out.push_back(row.first);
+    }
+    return out;
+}
+
+std::set<std::string> balancer::software_versions(const base::service_name& service) const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const auto it = by_service_.find(service);
+    std::set<std::string> out;
+    if (it != by_service_.end()) {
+        for (const base::endpoint_id& id : it->second) {
+            out.insert(endpoints_.at(id).vm.software_version);
+        }
+    }
+    return out;
+}
+
+bool balancer::has_version(const base::service_name& service, const std::string& version) const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const auto it = by_service_.find(service);
+    return it != by_service_.end() && std::ranges::any_of(it->second, [&](const base::endpoint_id& id) {
+               const endpoint_state& state = endpoints_.at(id);
+               return accepts_work(state) && state.vm.software_version == version;
+           });
+}
+
 std::uint32_t balancer::calls_in_progress(const base::endpoint_id& endpoint) const {
     const std::lock_guard<std::mutex> lock(mutex_);
     const auto it = endpoints_.find(endpoint);
