Log the software versions of a stream's events

The log could not tell a stream whose events came from two software versions from others. relay_ended names the versions whose events were forwarded and, for a stream that a client takes up again, the attempt that brought its first event and the last event that the client has.

--- a/packages/daemon/src/internal/relay_run.hpp
+++ b/packages/daemon/src/internal/relay_run.hpp
@@ -172,6 +172,8 @@
     /// Identifier of the last event that was forwarded.
     std::optional<std::string> last_event_id_;
     bool stream_started_ = false;
+    /// Software versions whose events were forwarded, in this order; for the log.
+    std::vector<std::string> forwarded_versions_;
     bool client_disconnected_ = false;
     bool ended_early_ = false;
     /// Set while the request is handled.
--- a/packages/daemon/src/relay_result.cpp
+++ b/packages/daemon/src/relay_result.cpp
@@ -15,6 +15,14 @@
 constexpr std::chrono::milliseconds max_retry_delay{500};
 constexpr double retry_delay_fraction = 0.2;
 
+std::string join_for_log(const std::vector<std::string>& texts) {
+    std::string out;
+    for (const std::string& text : texts) {
+        out += (out.empty() ? "" : " ") + text;
+    }
+    return out;
+}
+
 } // namespace
 
 void relay_run::record_attempt(const relay_attempt& current, relay::attempt_result result) {
@@ -137,6 +145,9 @@
          {"endpoint", tried_endpoints_.empty() ? "" : tried_endpoints_.back().text()},
          {"attempts", std::to_string(tried_endpoints_.size())},
          {"result", std::string(result)},
+         {"resumes", input_.request.resumed_attempt ? input_.request.resumed_attempt->text() : ""},
+         {"last_event", input_.request.last_event_id.value_or("")},
+         {"versions", join_for_log(forwarded_versions_)},
          {"endpoint_status", forwarded_status_ ? std::to_string(*forwarded_status_) : ""},
          {"took_ms", std::to_string(base::to_milliseconds(elapsed))},
          {"stages_ms", stages_ ? stages_->timings() : ""},
--- a/packages/daemon/src/relay_run.cpp
+++ b/packages/daemon/src/relay_run.cpp
@@ -505,6 +505,10 @@
 
 asio::awaitable<bool> relay_run::forward_events(relay_attempt& current, http::responder& out) {
     event_batch events = std::exchange(current.events, {});
+    const std::string& version = current.endpoint.software_version;
+    if (!events.bytes.empty() && (forwarded_versions_.empty() || forwarded_versions_.back() != version)) {
+        forwarded_versions_.push_back(version);
+    }
     base::result<void> sent;
     if (!stream_started_) {
         stream_started_ = true;
--- a/packages/relay/include/rattanbay/relay/messages.hpp
+++ b/packages/relay/include/rattanbay/relay/messages.hpp
@@ -49,6 +49,8 @@
     std::optional<std::string> key;
     /// Last event of the stream that the client has received.
     std::optional<std::string> last_event_id;
+    /// The client's attempt that brought the first event of the stream that this request resumes.
+    std::optional<base::request_id> resumed_attempt;
     std::optional<relay::prompt> prompt;
     /// Number of pieces of each stage of the route.
     std::vector<std::size_t> piece_counts;
