Remember where streams began

What two software versions write does not fit together, so that a client that takes up its stream at any daemon must get an endpoint of the version that began it. No daemon knew that version after the attempt had ended.

--- a/packages/relay/include/rattanbay/relay.hpp
+++ b/packages/relay/include/rattanbay/relay.hpp
@@ -21,7 +21,10 @@
 /// - resend_budget.hpp: limit on attempts beyond the first, shared by all daemons
 /// - route_table.hpp: routes by host and path
 /// - stage_times.hpp: estimates of the time that stages take
+/// - stream_origin.hpp: service and software version at which a stream began
+/// - stream_origins.hpp: where the streams began that are alive
 /// - stream_pace.hpp: pauses between the events of a stream
+/// - stream_record.hpp: what daemons tell each other of such a stream
 /// - trial_turn.hpp: when a daemon may let trials of such parts pass
 
 #include <rattanbay/relay/attempt_rules.hpp>
@@ -41,5 +44,8 @@
 #include <rattanbay/relay/resend_budget.hpp>
 #include <rattanbay/relay/route_table.hpp>
 #include <rattanbay/relay/stage_times.hpp>
+#include <rattanbay/relay/stream_origin.hpp>
+#include <rattanbay/relay/stream_origins.hpp>
 #include <rattanbay/relay/stream_pace.hpp>
+#include <rattanbay/relay/stream_record.hpp>
 #include <rattanbay/relay/trial_turn.hpp>
