Remember which versions of a service may have streams

A service has streams of a version for as long as clients wait, also after the last endpoint of the version has left the VM list. A daemon that looks at the list alone takes a single listed version for the only one.

--- a/packages/relay/include/rattanbay/relay.hpp
+++ b/packages/relay/include/rattanbay/relay.hpp
@@ -20,12 +20,14 @@
 /// - request_allowance.hpp: share of a daemon in such a limit
 /// - resend_budget.hpp: limit on attempts beyond the first, shared by all daemons
 /// - route_table.hpp: routes by host and path
+/// - service_versions.hpp: software versions that may have begun a stream that is still alive
 /// - stage_times.hpp: estimates of the time that stages take
 /// - stream_origin.hpp: service and software version at which a stream began
 /// - stream_origins.hpp: where the streams began that are alive
 /// - stream_pace.hpp: pauses between the events of a stream
 /// - stream_record.hpp: what daemons tell each other of such a stream
 /// - trial_turn.hpp: when a daemon may let trials of such parts pass
+/// - version_record.hpp: what daemons tell each other of such a version
 
 #include <rattanbay/relay/attempt_rules.hpp>
 #include <rattanbay/relay/balancer.hpp>
@@ -43,9 +45,11 @@
 #include <rattanbay/relay/request_allowance.hpp>
 #include <rattanbay/relay/resend_budget.hpp>
 #include <rattanbay/relay/route_table.hpp>
+#include <rattanbay/relay/service_versions.hpp>
 #include <rattanbay/relay/stage_times.hpp>
 #include <rattanbay/relay/stream_origin.hpp>
 #include <rattanbay/relay/stream_origins.hpp>
 #include <rattanbay/relay/stream_pace.hpp>
 #include <rattanbay/relay/stream_record.hpp>
 #include <rattanbay/relay/trial_turn.hpp>
+#include <rattanbay/relay/version_record.hpp>
