Add messages about the origins of streams

Daemons have to tell each other where streams began, and to ask for it.

stream_notice tells of streams, stream_origin_request and its reply ask for one. state_reply has a new last field with the active versions of services; daemons of earlier versions neither send nor read it. The times are relative, as the clocks of daemons differ.

--- a/packages/membership/src/detector.cpp
+++ b/packages/membership/src/detector.cpp
@@ -183,6 +183,8 @@
 
     void on_message(const peer::speed_announcement&, const base::address&) {}
 
+    void on_message(const peer::stream_notice&, const base::address&) {}
+
     void merge_updates(const peer::member_record& sender, const std::vector<peer::member_record>& updates) {
         if (sender.id != self_.id) {
             mark_predecessor_gone(sender);
--- a/packages/peer/include/rattanbay/peer/datagram.hpp
+++ b/packages/peer/include/rattanbay/peer/datagram.hpp
@@ -6,6 +6,7 @@
 #include <rattanbay/object_api/vm_list_update.hpp>
 #include <rattanbay/peer/member_record.hpp>
 #include <rattanbay/relay/part_record.hpp>
+#include <rattanbay/relay/stream_record.hpp>
 
 #include <cstdint>
 #include <optional>
@@ -92,8 +93,13 @@
     std::vector<std::uint32_t> engines;
 };
 
-using datagram =
-    std::variant<ping, ack, indirect_ping, crash_report, part_clearance, limit_report, vm_list_notice,
-                 evacuation_notice, part_notice, cold_report, speed_samples, speed_announcement>;
+/// Tells a daemon that is asked for the origins of streams where some began.
+struct stream_notice {
+    std::vector<relay::stream_record> records;
+};
+
+using datagram = std::variant<ping, ack, indirect_ping, crash_report, part_clearance, limit_report,
+                              vm_list_notice, evacuation_notice, part_notice, cold_report, speed_samples,
+                              speed_announcement, stream_notice>;
 
 } // namespace rattanbay::peer
--- a/packages/peer/include/rattanbay/peer/frame.hpp
+++ b/packages/peer/include/rattanbay/peer/frame.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <rattanbay/base/enum_names.hpp>
+#include <rattanbay/base/hash.hpp>
 #include <rattanbay/base/identifier.hpp>
 #include <rattanbay/base/incarnation.hpp>
 #include <rattanbay/ledger/reply.hpp>
@@ -9,8 +10,11 @@
 #include <rattanbay/peer/member_record.hpp>
 #include <rattanbay/relay/messages.hpp>
 #include <rattanbay/relay/part_record.hpp>
+#include <rattanbay/relay/stream_record.hpp>
+#include <rattanbay/relay/version_record.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -42,6 +46,9 @@
     std::vector<relay::part_record> part_records = {};
     /// Failure domains that are evacuated; the version is unset if the sender does not know them.
     object_api::evacuation_state evacuations = {};
+    /// Software versions that may have begun a stream that is still alive. Daemons of earlier versions send
+    /// none.
+    std::vector<relay::version_record> versions = {};
 };
 
 /// Forwards a request with an idempotency key to the incarnation named by the key.
@@ -93,7 +100,23 @@
 /// Acknowledges a message that has no other reply.
 struct accepted {};
 
-using frame = std::variant<state_request, state_reply, forward_request, wrong_incarnation, forward_reply,
-                           make_pieces, pieces_made, release_pieces, accepted>;
+/// Asks a daemon where a stream began that a client takes up again.
+struct stream_origin_request {
+    /// Key of the stream in `relay::stream_origins`.
+    base::hash128 stream;
+    base::service_name service;
+};
+
+/// Reply to a `stream_origin_request`.
+struct stream_origin_reply {
+    /// Nothing if the sender does not know the stream.
+    std::optional<relay::stream_record> record;
+    /// Active versions of the service.
+    std::vector<relay::version_record> versions;
+};
+
+using frame =
+    std::variant<state_request, state_reply, forward_request, wrong_incarnation, forward_reply, make_pieces,
+                 pieces_made, release_pieces, accepted, stream_origin_request, stream_origin_reply>;
 
 } // namespace rattanbay::peer
--- a/packages/peer/src/codec.cpp
+++ b/packages/peer/src/codec.cpp
@@ -72,6 +72,8 @@
         internal::pack_fields(out, message.pass_on, message.engines);
     }
 
+    void operator()(const stream_notice& message) const { internal::pack_fields(out, message.records); }
+
     void operator()(const state_request& message) const {
         internal::pack_fields(out, message.revision, message.accepts_compression, message.document_only);
     }
@@ -79,7 +81,8 @@
     void operator()(const state_reply& message) const {
         internal::pack_fields(out, message.document, message.vms.version.number(), message.vms.vms,
                               message.members, message.quarantined_parts, message.compressed_document,
-                              message.vms.version.era(), message.evacuations, message.part_records);
+                              message.vms.version.era(), message.evacuations, message.part_records,
+                              message.versions);
     }
 
     void operator()(const forward_request& message) const {
@@ -103,6 +106,14 @@
     }
 
     void operator()(const accepted&) const { internal::pack_fields(out); }
+
+    void operator()(const stream_origin_request& message) const {
+        internal::pack_fields(out, message.stream, message.service);
+    }
+
+    void operator()(const stream_origin_reply& message) const {
+        internal::pack_fields(out, message.record, message.versions);
+    }
 };
 
 /// Unpacks the fields of a message in wire order.
@@ -157,6 +168,8 @@
         internal::unpack_fields(from, message.pass_on, message.engines);
     }
 
+    void operator()(stream_notice& message) const { internal::unpack_fields(from, message.records); }
+
     void operator()(state_request& message) const {
         internal::unpack_fields(from, message.revision);
         internal::unpack_optional_field(from, 1, message.accepts_compression);
@@ -172,6 +185,7 @@
         internal::unpack_optional_field(from, 6, list_era);
         internal::unpack_optional_field(from, 7, message.evacuations);
         internal::unpack_optional_field(from, 8, message.part_records);
+        internal::unpack_optional_field(from, 9, message.versions);
         message.vms.version = object_api::store_revision(list_era, list_number);
     }
 
@@ -198,6 +212,14 @@
     }
 
     void operator()(accepted&) const {}
+
+    void operator()(stream_origin_request& message) const {
+        internal::unpack_fields(from, message.stream, message.service);
+    }
+
+    void operator()(stream_origin_reply& message) const {
+        internal::unpack_fields(from, message.record, message.versions);
+    }
 };
 
 /// Encodes the authentication code, followed by an array of the message's type index and its fields.
--- a/packages/peer/src/internal/wire.hpp
+++ b/packages/peer/src/internal/wire.hpp
@@ -242,6 +242,60 @@
         }
     };
 
+    template <> struct pack<rattanbay::base::hash128> {
+        template <class Stream>
+        packer<Stream>& operator()(packer<Stream>& out, const rattanbay::base::hash128& value) const {
+            wire::pack_fields(out, value.high, value.low);
+            return out;
+        }
+    };
+
+    template <> struct convert<rattanbay::base::hash128> {
+        const msgpack::object& operator()(const msgpack::object& from,
+                                          rattanbay::base::hash128& value) const {
+            wire::unpack_fields(from, value.high, value.low);
+            return from;
+        }
+    };
+
+    template <> struct pack<rattanbay::relay::stream_record> {
+        template <class Stream>
+        packer<Stream>& operator()(packer<Stream>& out, const rattanbay::relay::stream_record& value) const {
+            wire::pack_fields(out, value.stream, value.origin.service, value.origin.software_version,
+                              wire::to_ms(value.time_left));
+            return out;
+        }
+    };
+
+    template <> struct convert<rattanbay::relay::stream_record> {
+        const msgpack::object& operator()(const msgpack::object& from,
+                                          rattanbay::relay::stream_record& value) const {
+            std::int64_t time_left = 0;
+            wire::unpack_fields(from, value.stream, value.origin.service, value.origin.software_version,
+                                time_left);
+            value.time_left = wire::from_ms(time_left);
+            return from;
+        }
+    };
+
+    template <> struct pack<rattanbay::relay::version_record> {
+        template <class Stream>
+        packer<Stream>& operator()(packer<Stream>& out, const rattanbay::relay::version_record& value) const {
+            wire::pack_fields(out, value.service, value.software_version, wire::to_ms(value.time_left));
+            return out;
+        }
+    };
+
+    template <> struct convert<rattanbay::relay::version_record> {
+        const msgpack::object& operator()(const msgpack::object& from,
+                                          rattanbay::relay::version_record& value) const {
+            std::int64_t time_left = 0;
+            wire::unpack_fields(from, value.service, value.software_version, time_left);
+            value.time_left = wire::from_ms(time_left);
+            return from;
+        }
+    };
+
     template <> struct pack<rattanbay::relay::stage_order> {
         template <class Stream>
         packer<Stream>& operator()(packer<Stream>& out, const rattanbay::relay::stage_order& value) const {
--- a/packages/peer/test/codec_test.cpp
+++ b/packages/peer/test/codec_test.cpp
@@ -1,5 +1,6 @@
 #include "internal/wire.hpp"
 
+#include <rattanbay/base/hash.hpp>
 #include <rattanbay/peer.hpp>
 
 #include <boost/test/unit_test.hpp>
@@ -13,6 +14,7 @@
 namespace {
 
 constexpr const char* secret = "0123456789abcdef";
+constexpr std::size_t mac_bytes = 8;
 
 peer::member_record sample_record(std::uint64_t seed) {
     base::random_source random(seed);
@@ -39,6 +41,25 @@
     return {~0ULL, 3, std::chrono::seconds(4), std::chrono::seconds(5), true, 2, -std::chrono::seconds(6)};
 }
 
+relay::stream_record sample_stream() {
+    return {{~0ULL, 7}, {base::service_name("chat"), "2.1"}, std::chrono::seconds(12)};
+}
+
+relay::version_record sample_version() {
+    return {base::service_name("chat"), "2.0", std::chrono::seconds(34)};
+}
+
+/// Returns the body of a message with its authentication code.
+std::string authenticated(std::string_view body) {
+    std::uint64_t code = base::hmac64(secret, body);
+    std::string out(mac_bytes, '\0');
+    for (std::size_t n = mac_bytes; n > 0; --n) {
+        out[n - 1] = static_cast<char>(code);
+        code >>= 8U;
+    }
+    return out + std::string(body);
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(codec)
@@ -196,6 +217,57 @@
     BOOST_CHECK(std::get<peer::speed_announcement>(*announced).engines == engines);
 }
 
+// Guards against a stream that goes on at an endpoint of another version because a field was lost or swapped.
+BOOST_AUTO_TEST_CASE(origins_of_streams_survive_the_wire) {
+    const relay::stream_record record = sample_stream();
+    const peer::stream_notice notice{{record, record}};
+    const base::result<peer::datagram> told =
+        peer::decode_datagram(peer::encode(peer::datagram(notice), secret), secret);
+    BOOST_REQUIRE(told.has_value());
+    BOOST_CHECK(std::get<peer::stream_notice>(*told).records == notice.records);
+
+    const peer::stream_origin_request request{record.stream, record.origin.service};
+    const base::result<peer::frame> asked =
+        peer::decode_frame(peer::encode(peer::frame(request), secret).substr(4), secret);
+    BOOST_REQUIRE(asked.has_value());
+    BOOST_CHECK(std::get<peer::stream_origin_request>(*asked).stream == record.stream);
+    BOOST_TEST(std::get<peer::stream_origin_request>(*asked).service.text() == "chat");
+
+    for (const std::optional<relay::stream_record>& found :
+         {std::optional<relay::stream_record>(record), std::optional<relay::stream_record>()}) {
+        const peer::stream_origin_reply reply{found, {sample_version()}};
+        const base::result<peer::frame> read =
+            peer::decode_frame(peer::encode(peer::frame(reply), secret).substr(4), secret);
+        BOOST_REQUIRE(read.has_value());
+        BOOST_CHECK(std::get<peer::stream_origin_reply>(*read).record == found);
+        BOOST_CHECK(std::get<peer::stream_origin_reply>(*read).versions == reply.versions);
+    }
+}
+
+// Guards against a starting daemon that does not learn of a version, and against one that cannot read the
+// state of a daemon of an earlier version, which sends no versions.
+BOOST_AUTO_TEST_CASE(versions_of_services_survive_the_wire) {
+    peer::state_reply reply;
+    reply.members = {sample_record(4)};
+    reply.versions = {sample_version()};
+    const std::string bytes = peer::encode(peer::frame(reply), secret).substr(peer::frame_header_bytes);
+    const base::result<peer::frame> read = peer::decode_frame(bytes, secret);
+    BOOST_REQUIRE(read.has_value());
+    BOOST_CHECK(std::get<peer::state_reply>(*read).versions == reply.versions);
+
+    const msgpack::object_handle handle = msgpack::unpack(bytes.data() + mac_bytes, bytes.size() - mac_bytes);
+    msgpack::object& fields = handle.get().via.array.ptr[1];
+    BOOST_REQUIRE(fields.via.array.size == 10U);
+    fields.via.array.size -= 1;
+    msgpack::sbuffer packed;
+    msgpack::pack(packed, handle.get());
+    const std::string_view body(packed.data(), packed.size());
+    const base::result<peer::frame> earlier = peer::decode_frame(authenticated(body), secret);
+    BOOST_REQUIRE(earlier.has_value());
+    BOOST_CHECK(std::get<peer::state_reply>(*earlier).members == reply.members);
+    BOOST_TEST(std::get<peer::state_reply>(*earlier).versions.empty());
+}
+
 // Guards against a field of an update of the VM list being lost or swapped: a receiver would take its list
 // for complete although a change is missing.
 BOOST_AUTO_TEST_CASE(updates_of_the_vm_list_survive_the_wire) {
