Record the software versions of services in the store

Daemons that all restart at once know only the versions of the endpoints that are left, and may continue a stream of an earlier version at an endpoint of another one. One daemon now records the versions that may have begun a stream that still goes on as objects of kind "endpoint-versions", for services with more than one version. Each daemon reads them at its start, and after an isolation or a pause, and tells whether it has.

The versions come from two functions of relay_state, which are empty until it remembers versions.

--- a/packages/daemon/src/internal/state_synchronizer.hpp
+++ b/packages/daemon/src/internal/state_synchronizer.hpp
@@ -8,6 +8,7 @@
 #include "platform_session.hpp"
 #include "shared_state.hpp"
 #include "store_role.hpp"
+#include "version_record.hpp"
 #include "vm_list_synchronizer.hpp"
 
 #include <boost/asio/awaitable.hpp>
@@ -53,6 +54,9 @@
     /// replied.
     asio::awaitable<bool> verify();
 
+    /// See `version_record::is_loaded`; false unless the daemon relays requests.
+    bool are_versions_loaded() const { return versions_ && versions_->is_loaded(); }
+
     void publish_revisions() { documents_->publish_revisions(); }
 
     /// Time of the last usable answer of the platform, or the start time if there was none.
@@ -77,6 +81,8 @@
     std::shared_ptr<vm_list_synchronizer> vms_;
     std::shared_ptr<document_synchronizer> documents_;
     std::shared_ptr<daemon_registry> registry_;
+    /// Empty unless the daemon relays requests.
+    std::shared_ptr<version_record> versions_;
     /// Empty if operators evacuate no failure domains.
     std::shared_ptr<evacuation_synchronizer> evacuations_;
 };
--- a/packages/daemon/src/state_synchronizer.cpp
+++ b/packages/daemon/src/state_synchronizer.cpp
@@ -41,6 +41,15 @@
                                                   [this](base::address other) -> asio::awaitable<void> {
                                                       co_await fetch_state_from(other, peer_timeout);
                                                   })) {
+    if (shared.relay) {
+        versions_ = std::make_shared<version_record>(
+            shared, strand, platform_,
+            version_record::handlers{
+                [&relay = *shared.relay]() { return relay.active_versions(); },
+                [&relay = *shared.relay](const base::service_name& service, const std::string& version) {
+                    relay.on_recorded_version(service, version);
+                }});
+    }
     if (shared.relay && shared.relay->settings.evacuation_bound) {
         evacuations_ = std::make_shared<evacuation_synchronizer>(
             shared, strand, platform_, role_, *shared.relay->settings.evacuation_bound,
@@ -96,6 +105,7 @@
         asio::detached);
     if (shared_.relay) {
         registry_->start();
+        versions_->start();
     }
 }
 
--- a/packages/telemetry/include/rattanbay/telemetry/log_event.hpp
+++ b/packages/telemetry/include/rattanbay/telemetry/log_event.hpp
@@ -39,6 +39,8 @@
     registry_entry_written = 3010,
     store_role_changed = 3011,
     evacuations_changed = 3012,
+    version_recorded = 3015,
+    version_record_removed = 3016,
     member_joined = 4001,
     member_suspected = 4002,
     member_lost = 4003,
@@ -95,7 +97,7 @@
 };
 
 /// All log events, ordered by number.
-constexpr std::array<log_event_info, 74> log_events{{
+constexpr std::array<log_event_info, 76> log_events{{
     {log_event::daemon_started, log_level::info, "The daemon listens on all its addresses."},
     {log_event::daemon_draining, log_level::info, "A planned stop began; the daemon leaves the entry lists."},
     {log_event::daemon_stopped, log_level::info, "The planned stop ended; no request was left open."},
@@ -141,6 +143,11 @@
      "The daemon began to read the store without delay, or left that to others of its failure domain."},
     {log_event::evacuations_changed, log_level::warning,
      "Operators evacuated failure domains or took them back; nothing more is sent to evacuated ones."},
+    {log_event::version_recorded, log_level::info,
+     "A software version of a service with more than one was recorded in the store or found there."},
+    {log_event::version_record_removed, log_level::info,
+     "A software version was removed from the store, as the service has only one now or none of its streams "
+     "go on."},
     {log_event::member_joined, log_level::info, "Another daemon was found."},
     {log_event::member_suspected, log_level::warning,
      "A daemon does not answer probes and leaves the entry lists."},
@@ -239,7 +246,7 @@
 };
 
 template <> struct rattanbay::base::enum_names<rattanbay::telemetry::log_event> {
-    static constexpr std::array<enum_name<telemetry::log_event>, 74> table{{
+    static constexpr std::array<enum_name<telemetry::log_event>, 76> table{{
         {telemetry::log_event::daemon_started, "daemon_started"},
         {telemetry::log_event::daemon_draining, "daemon_draining"},
         {telemetry::log_event::daemon_stopped, "daemon_stopped"},
@@ -268,6 +275,8 @@
         {telemetry::log_event::registry_entry_written, "registry_entry_written"},
         {telemetry::log_event::store_role_changed, "store_role_changed"},
         {telemetry::log_event::evacuations_changed, "evacuations_changed"},
+        {telemetry::log_event::version_recorded, "version_recorded"},
+        {telemetry::log_event::version_record_removed, "version_record_removed"},
         {telemetry::log_event::member_joined, "member_joined"},
         {telemetry::log_event::member_suspected, "member_suspected"},
         {telemetry::log_event::member_lost, "member_lost"},
