Tell other daemons where streams began

A client can take its stream up at any daemon, also after the one that began it is gone. That daemon did not know the version of the stream.

stream_origin_exchange records the streams that this daemon begins. Each resumption that others were asked about logs stream_origin_asked.

--- a/packages/daemon/src/control.cpp
+++ b/packages/daemon/src/control.cpp
@@ -124,6 +124,7 @@
             cold_exchange_ = std::make_unique<cold_exchange>(shared_, broadcaster);
         }
         speed_exchange_ = std::make_shared<speed_exchange>(shared_, transport_, strand_);
+        stream_origin_exchange_ = std::make_shared<stream_origin_exchange>(shared_, transport_, strand_);
         shared_.relay->on_stream = [speeds = speed_exchange_](stream_observation observation) {
             speeds->record_stream(std::move(observation));
         };
@@ -229,6 +230,10 @@
         if (speed_exchange_) {
             speed_exchange_->receive(*speeds);
         }
+    } else if (const peer::stream_notice* streams = std::get_if<peer::stream_notice>(&message)) {
+        if (stream_origin_exchange_) {
+            stream_origin_exchange_->receive(*streams);
+        }
     } else if (const peer::vm_list_notice* notice = std::get_if<peer::vm_list_notice>(&message)) {
         state_->apply_vm_list_update(notice->update);
     } else if (const peer::evacuation_notice* evacuations = std::get_if<peer::evacuation_notice>(&message)) {
@@ -255,6 +260,11 @@
         }
         co_return peer::frame(peer::accepted{});
     }
+    if (const peer::stream_origin_request* stream = std::get_if<peer::stream_origin_request>(&message)) {
+        if (stream_origin_exchange_) {
+            co_return peer::frame(stream_origin_exchange_->answer(*stream));
+        }
+    }
     if (peer::forward_request* request = std::get_if<peer::forward_request>(&message)) {
         co_return co_await handle_forward(std::move(*request));
     }
@@ -333,6 +343,9 @@
         if (speed_exchange_) {
             speed_exchange_->refresh();
         }
+        if (stream_origin_exchange_) {
+            stream_origin_exchange_->refresh();
+        }
         if (pool_planner_) {
             pool_planner_->refresh();
         }
--- a/packages/daemon/src/internal/control.hpp
+++ b/packages/daemon/src/internal/control.hpp
@@ -13,6 +13,7 @@
 #include "shared_state.hpp"
 #include "speed_exchange.hpp"
 #include "state_synchronizer.hpp"
+#include "stream_origin_exchange.hpp"
 
 #include <rattanbay/daemon/platform_client.hpp>
 
@@ -38,6 +39,9 @@
 
     const std::shared_ptr<quarantine_exchange>& quarantine() const { return quarantine_exchange_; }
 
+    /// Null unless the daemon relays requests.
+    const std::shared_ptr<stream_origin_exchange>& stream_origins() const { return stream_origin_exchange_; }
+
     /// Text of the key prefix that a member issues.
     std::string key_prefix_text(const peer::member_record& member) const;
 
@@ -84,6 +88,7 @@
     std::unique_ptr<cold_exchange> cold_exchange_;
 
     std::shared_ptr<speed_exchange> speed_exchange_;
+    std::shared_ptr<stream_origin_exchange> stream_origin_exchange_;
     /// Number of live daemons and revision of the document from which the account limits were last computed.
     std::size_t limits_member_count_ = 0;
     std::uint64_t limits_revision_ = 0;
--- a/packages/daemon/src/internal/relay_state.hpp
+++ b/packages/daemon/src/internal/relay_state.hpp
@@ -74,6 +74,10 @@
     /// Memory of the responses of endpoints.
     http::response_memory& responses;
     relay::part_quarantine quarantine;
+    /// Where the streams began that this daemon or another one that told it relayed.
+    relay::stream_origins origins;
+    /// Software versions that may have begun a stream that is still alive.
+    relay::service_versions versions;
     /// Calls in progress at endpoints.
     const std::shared_ptr<open_calls> calls = std::make_shared<open_calls>();
     /// Called with the client limits of each adopted document; set before the first one is adopted.
--- a/packages/daemon/src/state_synchronizer.cpp
+++ b/packages/daemon/src/state_synchronizer.cpp
@@ -153,6 +153,7 @@
     if (shared_.relay) {
         reply.quarantined_parts = shared_.relay->quarantine.quarantined_parts(now());
         reply.part_records = shared_.relay->quarantine.records(now());
+        reply.versions = shared_.relay->versions.records(now());
     }
     co_return peer::frame(std::move(reply));
 }
@@ -216,6 +217,11 @@
             shared_.relay->quarantine.quarantine(part, now());
         }
     }
+    if (shared_.relay) {
+        for (const relay::version_record& row : reply->versions) {
+            shared_.relay->versions.restore(row.service, row.software_version, now(), row.time_left);
+        }
+    }
     if (!reply->document.empty()) {
         co_await documents_->offer(std::move(reply->document), "peer");
     } else if (!reply->compressed_document.empty()) {
--- a/packages/telemetry/include/rattanbay/telemetry/log_event.hpp
+++ b/packages/telemetry/include/rattanbay/telemetry/log_event.hpp
@@ -84,6 +84,7 @@
     part_trial_begun = 7013,
     cold_endpoints_changed = 7014,
     engine_speed_changed = 7017,
+    stream_origin_asked = 7018,
     lines_dropped = 8001,
 };
 
@@ -95,7 +96,7 @@
 };
 
 /// All log events, ordered by number.
-constexpr std::array<log_event_info, 74> log_events{{
+constexpr std::array<log_event_info, 75> log_events{{
     {log_event::daemon_started, log_level::info, "The daemon listens on all its addresses."},
     {log_event::daemon_draining, log_level::info, "A planned stop began; the daemon leaves the entry lists."},
     {log_event::daemon_stopped, log_level::info, "The planned stop ended; no request was left open."},
@@ -223,6 +224,8 @@
      "Another number of endpoints than before is or is presumed to be cold."},
     {log_event::engine_speed_changed, log_level::info,
      "This daemon collects the speed of an engine and announces another value."},
+    {log_event::stream_origin_asked, log_level::info,
+     "Other daemons were asked where a stream began that a client takes up again."},
     {log_event::lines_dropped, log_level::warning,
      "Log lines were dropped as they could not be written in time."},
 }};
@@ -239,7 +242,7 @@
 };
 
 template <> struct rattanbay::base::enum_names<rattanbay::telemetry::log_event> {
-    static constexpr std::array<enum_name<telemetry::log_event>, 74> table{{
+    static constexpr std::array<enum_name<telemetry::log_event>, 75> table{{
         {telemetry::log_event::daemon_started, "daemon_started"},
         {telemetry::log_event::daemon_draining, "daemon_draining"},
         {telemetry::log_event::daemon_stopped, "daemon_stopped"},
@@ -313,6 +316,7 @@
         {telemetry::log_event::part_trial_begun, "part_trial_begun"},
         {telemetry::log_event::cold_endpoints_changed, "cold_endpoints_changed"},
         {telemetry::log_event::engine_speed_changed, "engine_speed_changed"},
+        {telemetry::log_event::stream_origin_asked, "stream_origin_asked"},
         {telemetry::log_event::lines_dropped, "lines_dropped"},
     }};
 };
