--- a/packages/daemon/src/stream_origin_exchange.cpp
+++ b/packages/daemon/src/stream_origin_exchange.cpp
@@ -27,8 +27,8 @@
 constexpr std::chrono::milliseconds inquiry_limit{150};
 /// Bounds the time for which a stream is remembered; it is longer than any client waits.
 constexpr std::chrono::minutes max_stream_time{10};
-/// Streams of which the holders are told at once after a service has become mixed. Their holders are chosen
-/// among all members, which takes up to 20 us a stream.
+/// Streams of which the holders are told in one refresh after a service has become mixed. Bounds the time for
+/// which the control strand is held, as the holders of each stream are chosen among all members.
 constexpr std::size_t max_told_streams = 500;
 /// Bytes of a datagram without its records, and of a record without its texts, at most.
 constexpr std::size_t message_bytes = 32;
