Read no missing call when the version record is up to date

With nothing to write, the daemon read an empty optional and corrupted its memory. GCC 12 makes the argument of a call that is awaited on the right side of && although the left side is false. The loop now awaits the write in a statement of its own.

Evidence: version_record/one_version_makes_no_writes aborted before, and valgrind showed the read in version_record::update.

--- a/packages/daemon/src/version_record.cpp
+++ b/packages/daemon/src/version_record.cpp
@@ -123,9 +123,15 @@
         }
         failures_ = 0;
     }
-    std::optional<object_api::call> next = plan_.next(handlers_.active_versions());
-    while (next && is_writer() && co_await write(std::move(*next))) {
-        next = plan_.next(handlers_.active_versions());
+    // GCC 12 makes the argument of a call awaited behind && even if the left side is false.
+    bool is_current = is_writer();
+    while (is_current) {
+        std::optional<object_api::call> next = plan_.next(handlers_.active_versions());
+        if (!next) {
+            co_return;
+        }
+        const bool is_written = co_await write(std::move(*next));
+        is_current = is_written && is_writer();
     }
 }
 
