Let a stream go on only at the software version that began it

Callers got streams whose first events came from one software version of a service and the rest from another, with nothing in the answer to show it. The daemon sent a stream that had broken off to any endpoint of the service: within an answer, when a client took the stream up at any daemon, and after all daemons had been killed, when nobody knew the stream and the endpoints of its version had just left. Endpoints do not check their version.

The version of the endpoint that sends the first event is recorded before the client gets it, and only endpoints of this version may go on. When a client takes a stream up, the daemon asks the two that know it by its identifier. If nobody does, the stream goes on only if no other version may have begun it: none was listed for a minute, the record of versions in the store has been read since the start, and the list of endpoints is not old. Anything else is refused at once with 503.

--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -271,7 +271,8 @@
 
     base::result<void> listen_for_relay() {
         relay_handler_ = std::make_unique<internal::relay_handler>(shared_, control_plane_->pieces(),
-                                                                   control_plane_->quarantine());
+                                                                   control_plane_->quarantine(),
+                                                                   control_plane_->stream_origins());
         shared_.relay->on_client_limits = [this](const config::client_limits& limits) {
             caller_server_->set_limits(server_limits_of(limits));
         };
--- a/packages/daemon/src/internal/relay_handler.hpp
+++ b/packages/daemon/src/internal/relay_handler.hpp
@@ -20,7 +20,8 @@
 class relay_handler {
 public:
     relay_handler(shared_state& shared, std::shared_ptr<piece_router> router,
-                  std::shared_ptr<quarantine_exchange> quarantine);
+                  std::shared_ptr<quarantine_exchange> quarantine,
+                  std::shared_ptr<stream_origin_exchange> origins);
 
     /// Relays a client request and takes its body.
     asio::awaitable<void> handle(http::request& message, http::responder& out);
@@ -47,6 +48,7 @@
     relay_state& relay_;
     std::shared_ptr<piece_router> piece_router_;
     std::shared_ptr<quarantine_exchange> quarantine_;
+    std::shared_ptr<stream_origin_exchange> origins_;
 };
 
 } // namespace rattanbay::daemon::internal
--- a/packages/daemon/src/internal/relay_run.hpp
+++ b/packages/daemon/src/internal/relay_run.hpp
@@ -4,6 +4,7 @@
 #include "quarantine_exchange.hpp"
 #include "relay_attempt.hpp"
 #include "shared_state.hpp"
+#include "stream_origin_exchange.hpp"
 
 #include <rattanbay/base/enum_names.hpp>
 #include <rattanbay/base/problem.hpp>
@@ -34,7 +35,8 @@
 class relay_run : public std::enable_shared_from_this<relay_run> {
 public:
     relay_run(shared_state& shared, std::shared_ptr<piece_router> router,
-              std::shared_ptr<quarantine_exchange> quarantine, asio::any_io_executor executor,
+              std::shared_ptr<quarantine_exchange> quarantine,
+              std::shared_ptr<stream_origin_exchange> origins, asio::any_io_executor executor,
               relay_input input);
 
     /// Relays the request and sends the client its response.
@@ -63,6 +65,16 @@
     bool may_run_elsewhere() const;
     /// Whether all endpoints that may run the request have got it.
     bool has_used_attempts() const;
+    /// Finds where a stream that the client takes up again may go on. Refuses it and returns false if it may
+    /// go on nowhere.
+    asio::awaitable<bool> prepare_resumption(http::responder& out);
+    asio::awaitable<relay::resumption> decide_resumption();
+    void log_resumption(const relay::resumption& decision, bool is_available);
+    /// End of the client's wait, until which it may take the stream up again.
+    base::time_point client_deadline() const;
+    bool is_target(const base::service_name& service) const;
+    /// Records what begins the stream, before the client gets its first event.
+    void record_origin(const relay_attempt& current);
     void schedule_input_release();
     /// Ends all that runs beside the request, at its end.
     void release_resources();
@@ -131,12 +143,15 @@
     relay_state& relay_;
     std::shared_ptr<piece_router> piece_router_;
     std::shared_ptr<quarantine_exchange> quarantine_;
+    std::shared_ptr<stream_origin_exchange> origins_;
     /// Attempts that were begun and not finished.
     std::vector<std::shared_ptr<relay_attempt>> open_attempts_;
     asio::any_io_executor executor_;
     relay_input input_;
     base::random_source random_;
     base::service_name service_;
+    /// What began the stream, once it has begun. Only endpoints of this software version may go on with it.
+    std::optional<relay::stream_origin> origin_;
     /// End of the client's wait or of the route's timeout. An endpoint may work, and a stream that has begun
     /// may go on, until then.
     base::time_point deadline_;
--- a/packages/daemon/src/internal/relay_state.hpp
+++ b/packages/daemon/src/internal/relay_state.hpp
@@ -89,14 +89,9 @@
     /// Called at the end of an attempt of a stream with a prompt. Set before the first request; called from
     /// any thread.
     std::function<void(stream_observation)> on_stream;
-    /// Returns the software versions of each service that may have begun a stream that still goes on, and is
-    /// told of those that the store names. Set before the state is synchronized; called on the control
-    /// strand.
-    std::function<std::map<base::service_name, std::set<std::string>>()> active_versions = []() {
-        return std::map<base::service_name, std::set<std::string>>();
-    };
-    std::function<void(const base::service_name&, const std::string&)> on_recorded_version =
-        [](const base::service_name&, const std::string&) {};
+    /// Whether the record of software versions has been read since the start, and since this daemon was last
+    /// isolated or paused, so that the versions from before are known.
+    std::atomic<bool> knows_former_versions{false};
     /// Number of live daemons that take requests; at least 1.
     std::atomic<std::size_t> live_daemons{1};
     /// Time by which the daemon has to have answered all requests, as it is stopped; the maximum otherwise.
--- a/packages/daemon/src/internal/state_synchronizer.hpp
+++ b/packages/daemon/src/internal/state_synchronizer.hpp
@@ -54,9 +54,6 @@
     /// replied.
     asio::awaitable<bool> verify();
 
-    /// See `version_record::is_loaded`; false unless the daemon relays requests.
-    bool are_versions_loaded() const { return versions_ && versions_->is_loaded(); }
-
     void publish_revisions() { documents_->publish_revisions(); }
 
     /// Time of the last usable answer of the platform, or the start time if there was none.
--- a/packages/daemon/src/internal/version_record.hpp
+++ b/packages/daemon/src/internal/version_record.hpp
@@ -6,7 +6,6 @@
 
 #include <boost/asio/awaitable.hpp>
 
-#include <atomic>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -32,10 +31,6 @@
 
     void start();
 
-    /// Whether the recorded versions have been read since the start, and since this daemon was last isolated
-    /// or paused. May be called from any thread.
-    bool is_loaded() const { return loaded_.load(); }
-
 private:
     asio::awaitable<void> run();
     /// Reads the recorded versions, until the store has answered.
@@ -61,7 +56,6 @@
     base::time_point listed_at_;
     /// Number of consecutive failed calls.
     unsigned failures_ = 0;
-    std::atomic<bool> loaded_{false};
 };
 
 } // namespace rattanbay::daemon::internal
--- a/packages/daemon/src/relay_handler.cpp
+++ b/packages/daemon/src/relay_handler.cpp
@@ -40,11 +40,13 @@
 } // namespace
 
 relay_handler::relay_handler(shared_state& shared, std::shared_ptr<piece_router> router,
-                             std::shared_ptr<quarantine_exchange> quarantine)
+                             std::shared_ptr<quarantine_exchange> quarantine,
+                             std::shared_ptr<stream_origin_exchange> origins)
     : shared_(shared)
     , relay_(*shared.relay)
     , piece_router_(std::move(router))
-    , quarantine_(std::move(quarantine)) {}
+    , quarantine_(std::move(quarantine))
+    , origins_(std::move(origins)) {}
 
 asio::awaitable<void> relay_handler::handle(http::request& message, http::responder& out) {
     relay_input input;
@@ -83,8 +85,8 @@
     }
     const in_progress_guard guard(shared_.requests_in_progress);
     const asio::any_io_executor executor = co_await asio::this_coro::executor;
-    const std::shared_ptr<relay_run> run =
-        std::make_shared<relay_run>(shared_, piece_router_, quarantine_, executor, std::move(input));
+    const std::shared_ptr<relay_run> run = std::make_shared<relay_run>(shared_, piece_router_, quarantine_,
+                                                                       origins_, executor, std::move(input));
     co_await run->execute(out);
 }
 
--- a/packages/daemon/src/relay_run.cpp
+++ b/packages/daemon/src/relay_run.cpp
@@ -51,12 +51,14 @@
 } // namespace
 
 relay_run::relay_run(shared_state& shared, std::shared_ptr<piece_router> router,
-                     std::shared_ptr<quarantine_exchange> quarantine, asio::any_io_executor executor,
+                     std::shared_ptr<quarantine_exchange> quarantine,
+                     std::shared_ptr<stream_origin_exchange> origins, asio::any_io_executor executor,
                      relay_input input)
     : shared_(shared)
     , relay_(*shared.relay)
     , piece_router_(std::move(router))
     , quarantine_(std::move(quarantine))
+    , origins_(std::move(origins))
     , executor_(executor)
     , input_(std::move(input))
     , random_(shared.next_seed())
@@ -114,6 +116,10 @@
         co_await send_failure(out);
         co_return;
     }
+    const bool can_begin = co_await prepare_resumption(out);
+    if (!can_begin) {
+        co_return;
+    }
     const bool has_inputs = co_await prepare_inputs(out);
     if (has_inputs) {
         co_await make_attempts(out);
@@ -265,6 +271,9 @@
     query.service = service_;
     query.excluded = tried_endpoints_;
     query.preferred_domain = preferred_domain_;
+    if (origin_) {
+        query.software_version = origin_->software_version;
+    }
     if (input_.route->prefix_affinity && input_.request.prompt) {
         query.affinity = input_.request.prompt->shared_part();
     }
@@ -393,6 +402,7 @@
     const bool wanted = connected && !current.cancelled && !has_client_left() &&
                         remaining_time() > base::duration::zero() &&
                         relay_.balancer.is_available(current.endpoint.id, now()) &&
+                        relay_.balancer.has_chosen_version(current.endpoint) &&
                         relay_.balancer.may_send(current.endpoint.id, current.start, now()) &&
                         (!stages_ || stages_->has_inputs(now()));
     if (connected && !wanted) {
@@ -509,6 +519,9 @@
     if (!events.bytes.empty() && (forwarded_versions_.empty() || forwarded_versions_.back() != version)) {
         forwarded_versions_.push_back(version);
     }
+    if (!events.bytes.empty()) {
+        record_origin(current);
+    }
     base::result<void> sent;
     if (!stream_started_) {
         stream_started_ = true;
--- a/packages/daemon/src/relay_state.cpp
+++ b/packages/daemon/src/relay_state.cpp
@@ -4,6 +4,9 @@
 
 #include <rattanbay/telemetry.hpp>
 
+#include <set>
+#include <vector>
+
 namespace rattanbay::daemon::internal {
 
 namespace {
@@ -68,6 +71,15 @@
     pool.close_unlisted(
         [this](const base::address& address) { return !balancer.failure_domain_at(address).empty(); });
     calls->end_calls(balancer);
+    std::set<base::service_name> services;
+    for (const auto& row : versions.snapshot(now())) {
+        services.insert(row.first);
+    }
+    const std::vector<base::service_name> listed = balancer.services();
+    services.insert(listed.begin(), listed.end());
+    for (const base::service_name& service : services) {
+        versions.observe(service, balancer.software_versions(service), now());
+    }
 }
 
 void relay_state::record_unreachable(const base::endpoint_id& endpoint) {
--- a/packages/daemon/src/state_synchronizer.cpp
+++ b/packages/daemon/src/state_synchronizer.cpp
@@ -45,9 +45,9 @@
         versions_ = std::make_shared<version_record>(
             shared, strand, platform_,
             version_record::handlers{
-                [&relay = *shared.relay]() { return relay.active_versions(); },
+                [&relay = *shared.relay]() { return relay.versions.snapshot(now()); },
                 [&relay = *shared.relay](const base::service_name& service, const std::string& version) {
-                    relay.on_recorded_version(service, version);
+                    relay.versions.restore(service, version, now());
                 }});
     }
     if (shared.relay && shared.relay->settings.evacuation_bound) {
--- a/packages/daemon/src/version_record.cpp
+++ b/packages/daemon/src/version_record.cpp
@@ -88,7 +88,7 @@
         if (is_paused || is_cut_off()) {
             // Versions may have come and gone that this daemon has not heard of.
             plan_.forget();
-            loaded_.store(false);
+            shared_.relay->knows_former_versions.store(false);
         }
         if (is_cut_off()) {
             continue;
@@ -103,14 +103,14 @@
 }
 
 asio::awaitable<void> version_record::load() {
-    while (!loaded_.load()) {
+    while (!shared_.relay->knows_former_versions.load()) {
         const std::optional<object_api::answer> failure = co_await list();
         if (failure) {
             co_await platform_.back_off("list_versions", ++failures_, *failure);
             continue;
         }
         failures_ = 0;
-        loaded_.store(true);
+        shared_.relay->knows_former_versions.store(true);
     }
 }
 
--- a/packages/relay/include/rattanbay/relay.hpp
+++ b/packages/relay/include/rattanbay/relay.hpp
@@ -19,6 +19,7 @@
 /// - protocol.hpp: interface to a platform's protocol
 /// - request_allowance.hpp: share of a daemon in such a limit
 /// - resend_budget.hpp: limit on attempts beyond the first, shared by all daemons
+/// - resumption.hpp: where a stream that a client takes up again may go on
 /// - route_table.hpp: routes by host and path
 /// - service_versions.hpp: software versions that may have begun a stream that is still alive
 /// - stage_times.hpp: estimates of the time that stages take
@@ -44,6 +45,7 @@
 #include <rattanbay/relay/protocol.hpp>
 #include <rattanbay/relay/request_allowance.hpp>
 #include <rattanbay/relay/resend_budget.hpp>
+#include <rattanbay/relay/resumption.hpp>
 #include <rattanbay/relay/route_table.hpp>
 #include <rattanbay/relay/service_versions.hpp>
 #include <rattanbay/relay/stage_times.hpp>
--- a/packages/relay/include/rattanbay/relay/balancer.hpp
+++ b/packages/relay/include/rattanbay/relay/balancer.hpp
@@ -139,6 +139,9 @@
     /// Whether the endpoint is listed and accepts work.
     bool is_available(const base::endpoint_id& endpoint, base::time_point now) const;
 
+    /// Whether the list still shows the software version with which the endpoint was chosen.
+    bool has_chosen_version(const chosen_endpoint& endpoint) const;
+
     /// Whether a live endpoint that started later is listed at the address of this one, which is not listed
     /// any more. A list that was restored from a copy may name the former endpoint of the address instead.
     bool is_replaced(const chosen_endpoint& endpoint) const;
--- a/packages/relay/src/balancer.cpp
+++ b/packages/relay/src/balancer.cpp
@@ -415,6 +415,12 @@
     return it != endpoints_.end() && accepts_work(it->second) && it->second.paused_until <= now;
 }
 
+bool balancer::has_chosen_version(const chosen_endpoint& endpoint) const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const auto it = endpoints_.find(endpoint.id);
+    return it != endpoints_.end() && it->second.vm.software_version == endpoint.software_version;
+}
+
 bool balancer::is_replaced(const chosen_endpoint& endpoint) const {
     const std::lock_guard<std::mutex> lock(mutex_);
     const auto it = endpoints_.find(endpoint.id);
--- a/packages/telemetry/include/rattanbay/telemetry/metrics.hpp
+++ b/packages/telemetry/include/rattanbay/telemetry/metrics.hpp
@@ -70,6 +70,9 @@
     /// Counts a finished call to a worker pool by the result of the attempt.
     void record_piece_call(const base::service_name& service, std::string_view result);
 
+    /// Counts a stream that a client took up again, by how its version was found.
+    void record_resumption(std::string_view basis, bool is_allowed);
+
     /// Counts a finished stage of this daemon's requests. `scheduler` is "own" if this daemon scheduled it,
     /// else "peer".
     void record_stage(const base::service_name& service, std::string_view scheduler, std::string_view result);
--- a/packages/telemetry/src/metrics.cpp
+++ b/packages/telemetry/src/metrics.cpp
@@ -62,6 +62,11 @@
                                                                    .Name("rattanbay_vm_list_answers_total")
                                                                    .Help("Answers about the VM list")
                                                                    .Register(registry);
+    prometheus::Family<prometheus::Counter>& resumptions =
+        prometheus::BuildCounter()
+            .Name("rattanbay_stream_resumptions_total")
+            .Help("Streams that clients took up again, by how their version was found and result")
+            .Register(registry);
     prometheus::Family<prometheus::Counter>& piece_calls = prometheus::BuildCounter()
                                                                .Name("rattanbay_piece_calls_total")
                                                                .Help("Calls to worker pools by result")
@@ -254,6 +259,11 @@
     state_->piece_calls.Add({{"service", service.text()}, {"result", std::string(result)}}).Increment();
 }
 
+void metrics::record_resumption(std::string_view basis, bool is_allowed) {
+    state_->resumptions.Add({{"basis", std::string(basis)}, {"result", is_allowed ? "allowed" : "refused"}})
+        .Increment();
+}
+
 void metrics::record_stage(const base::service_name& service, std::string_view scheduler,
                            std::string_view result) {
     state_->stages
