Refuse unknown streams of a daemon that nobody answers

A review of the decision about streams that clients take up found, by reading, that a daemon cut off from the platform and from all others takes the one version that it knows for the only one, as it did not use whether anybody had answered. It now refuses such a stream.

Also after that review: a stream whose endpoint has changed its version before the first event goes on nowhere, a resumption is recorded under its own identifier too, and other daemons are asked on kept connections.

--- a/packages/daemon/src/internal/relay_run.hpp
+++ b/packages/daemon/src/internal/relay_run.hpp
@@ -61,7 +61,7 @@
     /// Whether a part of the prompt is quarantined, so that the request may not be sent (again).
     bool is_quarantined();
     /// Whether what another endpoint sends may follow what the client has got: of a stream, only events after
-    /// the last one that it has, from an endpoint that resumes there.
+    /// the last one that it has, from an endpoint of the same software version that resumes there.
     bool may_run_elsewhere() const;
     /// Whether all endpoints that may run the request have got it.
     bool has_used_attempts() const;
--- a/packages/daemon/src/relay_resumption.cpp
+++ b/packages/daemon/src/relay_resumption.cpp
@@ -16,10 +16,11 @@
 
 asio::awaitable<relay::resumption> relay_run::decide_resumption() {
     relay::resumption_knowledge known;
-    if (input_.request.resumed_attempt) {
-        const stream_lookup found = co_await origins_->find(*input_.request.resumed_attempt, service_);
-        known.origin = found.origin;
-    }
+    // Without the attempt that began the stream, the others still tell which versions they know.
+    const stream_lookup found =
+        co_await origins_->find(input_.request.resumed_attempt.value_or(input_.request.id), service_);
+    known.origin = found.origin;
+    known.was_answered = found.was_answered;
     // A changed configuration may send the stream to another service, where it has no version yet.
     if (known.origin && !is_target(known.origin->service)) {
         known.origin = std::nullopt;
@@ -53,9 +54,11 @@
     }
     origin_ = origin;
     service_ = origin->service;
-    if (decision.basis == relay::resumption_basis::only_version && input_.request.resumed_attempt) {
+    if (input_.request.resumed_attempt) {
         origins_->record(*input_.request.resumed_attempt, *origin, client_deadline());
     }
+    // A client may name this attempt, although it did not bring the first event.
+    origins_->record(input_.request.id, *origin, client_deadline());
     co_return true;
 }
 
@@ -80,7 +83,12 @@
 }
 
 void relay_run::record_origin(const relay_attempt& current) {
-    if (!origin_ && input_.route->retry == config::retry_mode::resumable) {
+    if (origin_ || input_.route->retry != config::retry_mode::resumable) {
+        return;
+    }
+    // An endpoint that has started again with another version may have sent the events. Nothing is known of
+    // the stream then, and both versions are listed.
+    if (relay_.balancer.has_chosen_version(current.endpoint)) {
         origin_ = relay::stream_origin{service_, current.endpoint.software_version};
         origins_->record(input_.request.id, *origin_, client_deadline());
     }
--- a/packages/daemon/src/relay_run.cpp
+++ b/packages/daemon/src/relay_run.cpp
@@ -359,8 +359,8 @@
 }
 
 bool relay_run::may_run_elsewhere() const {
-    const bool can_resume =
-        input_.route->retry == config::retry_mode::resumable && last_event_id_.has_value();
+    const bool can_resume = input_.route->retry == config::retry_mode::resumable &&
+                            last_event_id_.has_value() && origin_.has_value();
     return !stream_started_ || can_resume;
 }
 
--- a/packages/daemon/src/stream_origin_exchange.cpp
+++ b/packages/daemon/src/stream_origin_exchange.cpp
@@ -113,7 +113,8 @@
                                                          peer::stream_origin_request question,
                                                          std::shared_ptr<inquiry> asked) {
     const std::shared_ptr<stream_origin_exchange> self = shared_from_this();
-    const base::result<peer::frame> answer = co_await transport_->exchange(member, question, inquiry_limit);
+    const base::result<peer::frame> answer =
+        co_await transport_->exchange_pooled(member, question, inquiry_limit);
     const peer::stream_origin_reply* const reply =
         answer ? std::get_if<peer::stream_origin_reply>(&*answer) : nullptr;
     if (reply != nullptr) {
--- a/packages/daemon/src/version_record.cpp
+++ b/packages/daemon/src/version_record.cpp
@@ -17,8 +17,8 @@
 const base::service_name writer_role("endpoint versions");
 /// Interval at which the record is compared with the active versions.
 constexpr std::chrono::milliseconds check_interval{250};
-/// Interval of listing the objects while there are any: a daemon with another view of the members may have
-/// removed some.
+/// Interval at which the writer lists the objects: a daemon with another view of the members may have written
+/// or removed some.
 constexpr std::chrono::seconds list_interval{10};
 /// Delay of a check above which the process is considered to have been paused.
 constexpr std::chrono::seconds pause_threshold{2};
@@ -200,8 +200,7 @@
 }
 
 bool version_record::is_list_due() const {
-    const bool has_rows = !plan_.empty() || !version_record_plan::wanted(handlers_.active_versions()).empty();
-    return plan_.needs_list() || (has_rows && now() - listed_at_ >= list_interval);
+    return plan_.needs_list() || now() - listed_at_ >= list_interval;
 }
 
 } // namespace rattanbay::daemon::internal
--- a/packages/relay/include/rattanbay/relay/resumption.hpp
+++ b/packages/relay/include/rattanbay/relay/resumption.hpp
@@ -19,6 +19,8 @@
     std::set<std::string> active_versions;
     /// Whether the versions from before the start of this daemon are among them.
     bool knows_former_versions = false;
+    /// Whether another daemon was asked and answered, or there is none.
+    bool was_answered = false;
     /// Time since the platform's last answer about the endpoints.
     base::duration list_age{};
 };
--- a/packages/relay/test/resumption_test.cpp
+++ b/packages/relay/test/resumption_test.cpp
@@ -13,6 +13,7 @@
     relay::resumption_knowledge out;
     out.active_versions = {"1.0"};
     out.knows_former_versions = true;
+    out.was_answered = true;
     return out;
 }
 
@@ -50,6 +51,9 @@
     known.list_age = std::chrono::seconds(30);
     BOOST_CHECK(!relay::decide_resumption(service, known).origin);
     known = one_version();
+    known.was_answered = false;
+    BOOST_CHECK(!relay::decide_resumption(service, known).origin);
+    known = one_version();
     known.active_versions.clear();
     BOOST_CHECK(!relay::decide_resumption(service, known).origin);
 }
