Remember the recent exchanges of a kept connection

A client was told 503, which promises that nothing has run, for a booking that ran: its first attempt was refused on a connection, another request was answered there, and the booking, sent again under its identifier, took the same connection. The copy of its refusal came then and was believed. A connection remembered only its last exchange. A request that was never sent also counted as one, so that the exchange before it was forgotten.

A connection now remembers its last 16 exchanges, and a request takes none that has carried it. Only requests that were sent are recorded, and repeats_exchange in the log counts all recorded exchanges. A connection on which 421 was answered is closed at its release: the idle ones to its address are closed earlier, while this one is still in use.

With a bound of one exchange, the new cases of repeated_refusal fail: 503 for a booking that ran, and a pool that gives the connection. Without the check for 421, the case of the other endpoint fails. A request that is not sent on a kept connection has no test.

--- a/packages/daemon/src/internal/relay_attempt.hpp
+++ b/packages/daemon/src/internal/relay_attempt.hpp
@@ -35,7 +35,7 @@
     void watch_endpoint(const asio::any_io_executor& executor);
 
     /// Takes a connection that was idle for at most `max_idle`, unless that is 0, or opens one. Returns
-    /// whether it has one. No connection whose last exchange was of this request is taken.
+    /// whether it has one. No connection that is known to have carried this request is taken.
     asio::awaitable<bool> connect(asio::any_io_executor executor, base::duration max_idle,
                                   base::duration limit);
 
@@ -57,9 +57,9 @@
     /// Whether the stream ended inside an event.
     bool has_partial_event() const { return splitter_.has_partial_event(); }
 
-    /// Whether the last exchange on the kept connection before this one was of the same request, so that the
-    /// identifier in a response does not tell which of the two it answers.
-    bool repeats_exchange() const { return earlier_request_ == request_.text(); }
+    /// Whether an earlier exchange on the kept connection was of the same request, so that the identifier in
+    /// a response does not tell which of the two it answers.
+    bool repeats_exchange() const { return repeats_exchange_; }
 
     /// Takes over the memory of the body, which was moved out of the attempt.
     http::response_memory::share take_memory() { return std::move(held_); }
@@ -67,7 +67,8 @@
     /// Closes the connection; an operation in progress fails.
     void close();
 
-    /// Keeps the connection for other requests if that is possible, and closes it otherwise.
+    /// Keeps the connection for other requests if that is possible, and closes it otherwise, also if another
+    /// endpoint than the one that was meant answered on it.
     void release();
 
     /// Endpoint and position among the attempts of the request.
@@ -124,6 +125,7 @@
     std::optional<endpoint_end> end_;
     /// Identifier of the last request on this connection before this one; empty if there was none.
     std::string earlier_request_;
+    bool repeats_exchange_ = false;
     relay::event_splitter splitter_;
     /// Memory of what was read and not forwarded, and of the events that are being forwarded.
     http::response_memory::share held_;
--- a/packages/daemon/src/relay_attempt.cpp
+++ b/packages/daemon/src/relay_attempt.cpp
@@ -59,6 +59,7 @@
     reused = connection_ != nullptr;
     if (connection_) {
         earlier_request_ = connection_->last_exchange();
+        repeats_exchange_ = connection_->has_carried(request_.text());
     } else {
         base::result<std::unique_ptr<http::client_connection>> opened =
             co_await http::client_connection::connect(executor, endpoint.address,
@@ -216,8 +217,11 @@
     if (end_) {
         detail = "the endpoint has ended: " + std::string(base::to_name(*end_));
     }
-    if (connection_ && connection_->reusable()) {
-        connection_->record_exchange(request_.text());
+    // The idle connections to the address were closed when the endpoint was found to be another one.
+    if (connection_ && connection_->reusable() && !header.is_misdirected) {
+        if (sent) {
+            connection_->record_exchange(request_.text());
+        }
         relay_.pool.release(std::move(connection_));
     } else {
         close();
--- a/packages/http/include/rattanbay/http/client_connection.hpp
+++ b/packages/http/include/rattanbay/http/client_connection.hpp
@@ -10,10 +10,12 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 
+#include <cstddef>
+#include <deque>
 #include <memory>
 #include <optional>
 #include <string>
-#include <utility>
+#include <string_view>
 
 namespace rattanbay::http {
 
@@ -93,14 +95,23 @@
     /// Closes the connection; a pending operation fails with `connection_broken`.
     virtual void close() = 0;
 
-    /// Identifier of the last exchange, as its user recorded it; empty if none did.
-    const std::string& last_exchange() const { return last_exchange_; }
+    /// Number of recorded exchanges that a connection remembers. A server may send a response once more after
+    /// several other ones.
+    static constexpr std::size_t max_recorded_exchanges = 16;
 
-    /// Records the identifier of an exchange that has ended. A server may send its response once more.
-    void record_exchange(std::string id) { last_exchange_ = std::move(id); }
+    /// Records the identifier of an exchange that has ended. The oldest one is forgotten if there are more
+    /// than `max_recorded_exchanges`.
+    void record_exchange(std::string id);
+
+    /// Whether one of the recorded exchanges has the identifier.
+    bool has_carried(std::string_view id) const;
+
+    /// Identifier of the last recorded exchange; empty if there is none.
+    std::string last_exchange() const;
 
 private:
-    std::string last_exchange_;
+    /// Identifiers of the recorded exchanges, the oldest first.
+    std::deque<std::string> exchanges_;
 };
 
 /// Reads the rest of a body. The timeout applies to all of it, however many parts it arrives in. Error
--- a/packages/http/include/rattanbay/http/connection_pool.hpp
+++ b/packages/http/include/rattanbay/http/connection_pool.hpp
@@ -34,8 +34,8 @@
 
     /// Returns the most recently used idle connection to the address that was idle for at most
     /// `max_idle`, or null. Skips connections that the server has closed or is about to close, and those
-    /// whose last exchange has the identifier `exchange`: a second copy of its response could not be told
-    /// from the response to the next exchange.
+    /// that have carried an exchange with the identifier `exchange`: a second copy of its response could not
+    /// be told from the response to the next exchange.
     std::unique_ptr<client_connection> acquire(const base::address& address,
                                                base::duration max_idle = max_idle_time,
                                                std::string_view exchange = {});
--- a/packages/http/src/client_connection.cpp
+++ b/packages/http/src/client_connection.cpp
@@ -17,6 +17,7 @@
 #include <charconv>
 #include <limits>
 #include <optional>
+#include <utility>
 
 namespace rattanbay::http {
 
@@ -328,6 +329,21 @@
     co_return connection;
 }
 
+void client_connection::record_exchange(std::string id) {
+    exchanges_.push_back(std::move(id));
+    if (exchanges_.size() > max_recorded_exchanges) {
+        exchanges_.pop_front();
+    }
+}
+
+bool client_connection::has_carried(std::string_view id) const {
+    return std::ranges::find(exchanges_, id) != exchanges_.end();
+}
+
+std::string client_connection::last_exchange() const {
+    return exchanges_.empty() ? std::string() : exchanges_.back();
+}
+
 asio::awaitable<base::result<std::string>> read_body(client_connection& connection, base::duration timeout,
                                                      response_memory::share& held) {
     const std::chrono::steady_clock::time_point end = std::chrono::steady_clock::now() + timeout;
--- a/packages/http/src/connection_pool.cpp
+++ b/packages/http/src/connection_pool.cpp
@@ -59,7 +59,7 @@
     }
     std::unique_ptr<client_connection> usable;
     for (std::size_t n = list.size(); n > 0 && !usable && now - list[n - 1].idle_since <= max_idle; --n) {
-        if (!exchange.empty() && list[n - 1].connection->last_exchange() == exchange) {
+        if (!exchange.empty() && list[n - 1].connection->has_carried(exchange)) {
             continue;
         }
         idle_connection candidate = std::move(list[n - 1]);
