Skip each late copy of an earlier answer on a connection

Callers got 502 for bookings that ran, when the answer to an earlier request on the connection came twice more, or when the late copy belonged to the request before the last one. Only one copy was skipped, and only of the answer to the last request; the next answer was taken for that of an unknown request, which ends the attempt.

A copy of the answer to any of the connection's last 16 requests, other than the request's own, is now recognised, and up to four of them are skipped, each with its log line. One more ends the attempt and closes the connection, as before.

With a bound of one copy and one remembered exchange, the three new cases of repeated_refusal fail: 502 for bookings that ran.

--- a/packages/daemon/src/internal/relay_attempt.hpp
+++ b/packages/daemon/src/internal/relay_attempt.hpp
@@ -42,7 +42,8 @@
     /// Starts sending the request.
     void send(http::request message, base::duration time_left);
 
-    /// Reads the header of the response. Returns the result if the response cannot be forwarded, or nothing.
+    /// Reads the header of the response and skips a few second answers to earlier requests on the connection
+    /// before it. Returns the result if the response cannot be forwarded, or nothing.
     asio::awaitable<std::optional<relay::attempt_result>> read_header(base::duration time_left);
 
     /// Whether the response is an event stream.
@@ -108,10 +109,10 @@
     /// Reads a header. Returns the result if there is none, or nothing.
     asio::awaitable<std::optional<relay::attempt_result>> receive_header(base::duration time_left);
 
-    /// Whether the header belongs to the earlier request on this connection.
+    /// Whether the header belongs to an earlier request on this connection, and not to this one.
     bool is_second_answer() const;
 
-    /// Reads the rest of an answer to the earlier request, and the header of the next answer.
+    /// Reads the rest of an answer to an earlier request, and the header of the next answer.
     asio::awaitable<std::optional<relay::attempt_result>> skip_second_answer(base::duration time_left);
 
     /// Closes the connection, as the response is too large.
@@ -123,8 +124,6 @@
     std::optional<open_calls::registration> registration_;
     /// Set if the connection was closed because the endpoint has ended.
     std::optional<endpoint_end> end_;
-    /// Identifier of the last request on this connection before this one; empty if there was none.
-    std::string earlier_request_;
     bool repeats_exchange_ = false;
     relay::event_splitter splitter_;
     /// Memory of what was read and not forwarded, and of the events that are being forwarded.
--- a/packages/daemon/src/relay_attempt.cpp
+++ b/packages/daemon/src/relay_attempt.cpp
@@ -19,6 +19,9 @@
 constexpr std::chrono::milliseconds max_refusal_body_time{50};
 /// Time to read the rest of a second answer, which the endpoint sends in one piece.
 constexpr std::chrono::milliseconds max_second_answer_time{50};
+/// Number of second answers that are skipped before the answer to a request. Bounds the time spent on an
+/// endpoint that repeats its answers without end.
+constexpr std::size_t max_second_answers = 4;
 constexpr int min_redirection_status = 300;
 
 } // namespace
@@ -58,7 +61,6 @@
     }
     reused = connection_ != nullptr;
     if (connection_) {
-        earlier_request_ = connection_->last_exchange();
         repeats_exchange_ = connection_->has_carried(request_.text());
     } else {
         base::result<std::unique_ptr<http::client_connection>> opened =
@@ -97,15 +99,15 @@
 }
 
 bool relay_attempt::is_second_answer() const {
-    return !earlier_request_.empty() && header.request_id && header.request_id != request_ &&
-           header.request_id->text() == earlier_request_;
+    return header.request_id && header.request_id != request_ &&
+           connection_->has_carried(header.request_id->text());
 }
 
 asio::awaitable<std::optional<relay::attempt_result>>
 relay_attempt::skip_second_answer(base::duration time_left) {
     const base::time_point begin = now();
     detail = "status " + std::to_string(header.status) + " once more for the earlier request '" +
-             earlier_request_ + "'";
+             header.request_id->text() + "'";
     telemetry::log(telemetry::log_event::crossed_answer,
                    {{"request", request_.text()}, {"endpoint", endpoint.id.text()}, {"detail", detail}});
     const base::duration limit = std::min<base::duration>(max_second_answer_time, time_left);
@@ -122,10 +124,10 @@
 }
 
 asio::awaitable<std::optional<relay::attempt_result>> relay_attempt::read_header(base::duration time_left) {
-    const base::time_point begin = now();
+    const base::time_point end = now() + time_left;
     std::optional<relay::attempt_result> failed = co_await receive_header(time_left);
-    if (!failed && is_second_answer()) {
-        time_left = std::max(base::duration::zero(), time_left - (now() - begin));
+    for (std::size_t n = 0; !failed && n < max_second_answers && is_second_answer(); ++n) {
+        time_left = std::max<base::duration>(base::duration::zero(), end - now());
         failed = co_await skip_second_answer(time_left);
     }
     if (failed) {
--- a/packages/http/include/rattanbay/http/client_connection.hpp
+++ b/packages/http/include/rattanbay/http/client_connection.hpp
@@ -106,9 +106,6 @@
     /// Whether one of the recorded exchanges has the identifier.
     bool has_carried(std::string_view id) const;
 
-    /// Identifier of the last recorded exchange; empty if there is none.
-    std::string last_exchange() const;
-
 private:
     /// Identifiers of the recorded exchanges, the oldest first.
     std::deque<std::string> exchanges_;
--- a/packages/http/src/client_connection.cpp
+++ b/packages/http/src/client_connection.cpp
@@ -340,10 +340,6 @@
     return std::ranges::find(exchanges_, id) != exchanges_.end();
 }
 
-std::string client_connection::last_exchange() const {
-    return exchanges_.empty() ? std::string() : exchanges_.back();
-}
-
 asio::awaitable<base::result<std::string>> read_body(client_connection& connection, base::duration timeout,
                                                      response_memory::share& held) {
     const std::chrono::steady_clock::time_point end = std::chrono::steady_clock::now() + timeout;
