--- a/packages/daemon/src/internal/relay_attempt.hpp
+++ b/packages/daemon/src/internal/relay_attempt.hpp
@@ -35,14 +35,15 @@
     void watch_endpoint(const asio::any_io_executor& executor);
 
     /// Takes a connection that was idle for at most `max_idle`, unless that is 0, or opens one. Returns
-    /// whether it has one. No connection whose last exchange was of this request is taken.
+    /// whether it has one. No connection that is known to have carried this request is taken.
     asio::awaitable<bool> connect(asio::any_io_executor executor, base::duration max_idle,
                                   base::duration limit);
 
     /// Starts sending the request.
     void send(http::request message, base::duration time_left);
 
-    /// Reads the header of the response. Returns the result if the response cannot be forwarded, or nothing.
+    /// Reads the header of the response and skips a few second answers to earlier requests on the connection
+    /// before it. Returns the result if the response cannot be forwarded, or nothing.
     asio::awaitable<std::optional<relay::attempt_result>> read_header(base::duration time_left);
 
     /// Whether the response is an event stream.
@@ -57,9 +58,9 @@
     /// Whether the stream ended inside an event.
     bool has_partial_event() const { return splitter_.has_partial_event(); }
 
-    /// Whether the last exchange on the kept connection before this one was of the same request, so that the
-    /// identifier in a response does not tell which of the two it answers.
-    bool repeats_exchange() const { return earlier_request_ == request_.text(); }
+    /// Whether an earlier exchange on the kept connection was of the same request, so that the identifier in
+    /// a response does not tell which of the two it answers.
+    bool repeats_exchange() const { return repeats_exchange_; }
 
     /// Takes over the memory of the body, which was moved out of the attempt.
     http::response_memory::share take_memory() { return std::move(held_); }
@@ -67,7 +68,8 @@
     /// Closes the connection; an operation in progress fails.
     void close();
 
-    /// Keeps the connection for other requests if that is possible, and closes it otherwise.
+    /// Keeps the connection for other requests if that is possible, and closes it otherwise, also if another
+    /// endpoint than the one that was meant answered on it.
     void release();
 
     /// Endpoint and position among the attempts of the request.
@@ -107,10 +109,10 @@
     /// Reads a header. Returns the result if there is none, or nothing.
     asio::awaitable<std::optional<relay::attempt_result>> receive_header(base::duration time_left);
 
-    /// Whether the header belongs to the earlier request on this connection.
+    /// Whether the header belongs to an earlier request on this connection, and not to this one.
     bool is_second_answer() const;
 
-    /// Reads the rest of an answer to the earlier request, and the header of the next answer.
+    /// Reads the rest of an answer to an earlier request, and the header of the next answer.
     asio::awaitable<std::optional<relay::attempt_result>> skip_second_answer(base::duration time_left);
 
     /// Closes the connection, as the response is too large.
@@ -122,8 +124,7 @@
     std::optional<open_calls::registration> registration_;
     /// Set if the connection was closed because the endpoint has ended.
     std::optional<endpoint_end> end_;
-    /// Identifier of the last request on this connection before this one; empty if there was none.
-    std::string earlier_request_;
+    bool repeats_exchange_ = false;
     relay::event_splitter splitter_;
     /// Memory of what was read and not forwarded, and of the events that are being forwarded.
     http::response_memory::share held_;
