Bound the memory of a connection's recorded exchanges

A connection kept the identifiers of its last 16 exchanges as clients sent them, up to the header limit each. It keeps their 128-bit hashes now.

--- a/packages/http/include/rattanbay/http/client_connection.hpp
+++ b/packages/http/include/rattanbay/http/client_connection.hpp
@@ -2,6 +2,7 @@
 
 #include <rattanbay/base/address.hpp>
 #include <rattanbay/base/error.hpp>
+#include <rattanbay/base/hash.hpp>
 #include <rattanbay/base/time.hpp>
 #include <rattanbay/http/descriptor_budget.hpp>
 #include <rattanbay/http/message.hpp>
@@ -101,14 +102,14 @@
 
     /// Records the identifier of an exchange that has ended. The oldest one is forgotten if there are more
     /// than `max_recorded_exchanges`.
-    void record_exchange(std::string id);
+    void record_exchange(std::string_view id);
 
     /// Whether one of the recorded exchanges has the identifier.
     bool has_carried(std::string_view id) const;
 
 private:
     /// Identifiers of the recorded exchanges, the oldest first.
-    std::deque<std::string> exchanges_;
+    std::deque<base::hash128> exchanges_;
 };
 
 /// Reads the rest of a body. The timeout applies to all of it, however many parts it arrives in. Error
--- a/packages/http/src/client_connection.cpp
+++ b/packages/http/src/client_connection.cpp
@@ -329,15 +329,15 @@
     co_return connection;
 }
 
-void client_connection::record_exchange(std::string id) {
-    exchanges_.push_back(std::move(id));
+void client_connection::record_exchange(std::string_view id) {
+    exchanges_.push_back(base::fast_hash(id));
     if (exchanges_.size() > max_recorded_exchanges) {
         exchanges_.pop_front();
     }
 }
 
 bool client_connection::has_carried(std::string_view id) const {
-    return std::ranges::find(exchanges_, id) != exchanges_.end();
+    return std::ranges::find(exchanges_, base::fast_hash(id)) != exchanges_.end();
 }
 
 asio::awaitable<base::result<std::string>> read_body(client_connection& connection, base::duration timeout,
