Record the versions of each service with streams in the store

Callers could get a stream of two versions if all daemons were killed and the endpoints of the only version were replaced by those of another one while they were away: the store had versions of services with more than one only, so that the daemons saw one version and took it for the one that had begun every stream.

The writer now records each active version of the services to which resumable routes lead, one write for a version, and nothing before it knows the document. Other services are not recorded any more.

--- a/packages/daemon/src/internal/relay_state.hpp
+++ b/packages/daemon/src/internal/relay_state.hpp
@@ -55,6 +55,11 @@
     /// listed no more, and ends the calls that are in progress at those that were replaced.
     void update_endpoints(const object_api::vm_list& vms);
 
+    /// Active software versions of the services whose streams may be taken up again; nothing before the first
+    /// document is adopted.
+    std::optional<std::map<base::service_name, std::set<std::string>>>
+    versions_of_streams(base::time_point now) const;
+
     /// Records that no connection to the endpoint could be opened.
     void record_unreachable(const base::endpoint_id& endpoint);
 
--- a/packages/daemon/src/internal/version_record.hpp
+++ b/packages/daemon/src/internal/version_record.hpp
@@ -15,12 +15,13 @@
 
 /// Records in the platform which software versions of a service may have begun streams that still go on, so
 /// that daemons that have all restarted at once know of versions whose endpoints have ended. One daemon
-/// writes, and only for services with more than one version. Runs on the control strand.
+/// writes. Runs on the control strand.
 class version_record : public std::enable_shared_from_this<version_record> {
 public:
     struct handlers {
-        /// Versions of each service that may have begun a stream that still goes on, as this daemon knows.
-        std::function<version_record_plan::version_sets()> active_versions;
+        /// Versions of each service that may have begun a stream that still goes on, as this daemon knows;
+        /// nothing while it does not know the services.
+        std::function<std::optional<version_record_plan::version_sets>()> active_versions;
         /// Called with each version that the store names and that this daemon did not read there before. An
         /// object is removed only when its version is not active after this call.
         std::function<void(const base::service_name&, const std::string&)> on_recorded;
--- a/packages/daemon/src/internal/version_record_plan.hpp
+++ b/packages/daemon/src/internal/version_record_plan.hpp
@@ -20,13 +20,13 @@
 constexpr std::string_view version_kind = "endpoint-versions";
 
 /// Decides which platform call brings the recorded software versions closer to those that are to be recorded:
-/// all active versions of the services with more than one, and none of the other services.
+/// all active versions.
 class version_record_plan {
 public:
     using version_sets = std::map<base::service_name, std::set<std::string>>;
 
-    /// Number of versions that are recorded at most. If more are active, each service gets two of its
-    /// versions first, which suffice to tell that it has more than one.
+    /// Number of versions that are recorded at most. If more are active, each service gets one of its
+    /// versions first and then a second one, which suffices to tell that it has more than one.
     static constexpr std::size_t max_objects = 64;
 
     /// Takes over the list of all objects. Returns the versions that another daemon has recorded since the
--- a/packages/daemon/src/relay_state.cpp
+++ b/packages/daemon/src/relay_state.cpp
@@ -82,6 +82,24 @@
     }
 }
 
+std::optional<std::map<base::service_name, std::set<std::string>>>
+relay_state::versions_of_streams(base::time_point now) const {
+    const std::shared_ptr<const relay_serving_state> state = serving.read();
+    if (!state->routes) {
+        return std::nullopt;
+    }
+    std::map<base::service_name, std::set<std::string>> out;
+    for (const std::shared_ptr<const config::relay_route>& route : state->routes->document().routes) {
+        if (route->retry != config::retry_mode::resumable) {
+            continue;
+        }
+        for (const config::relay_target& target : route->targets) {
+            out.try_emplace(target.service, versions.active(target.service, now));
+        }
+    }
+    return out;
+}
+
 void relay_state::record_unreachable(const base::endpoint_id& endpoint) {
     balancer.use_cold_ceiling(
         [&endpoint](relay::cold_ceiling& ceiling) { ceiling.record_failure(endpoint, now()); });
--- a/packages/daemon/src/state_synchronizer.cpp
+++ b/packages/daemon/src/state_synchronizer.cpp
@@ -45,7 +45,7 @@
         versions_ = std::make_shared<version_record>(
             shared, strand, platform_,
             version_record::handlers{
-                [&relay = *shared.relay]() { return relay.versions.snapshot(now()); },
+                [&relay = *shared.relay]() { return relay.versions_of_streams(now()); },
                 [&relay = *shared.relay](const base::service_name& service, const std::string& version) {
                     relay.versions.restore(service, version, now());
                 }});
--- a/packages/daemon/src/version_record.cpp
+++ b/packages/daemon/src/version_record.cpp
@@ -126,7 +126,8 @@
     // GCC 12 makes the argument of a call awaited behind && even if the left side is false.
     bool is_current = is_writer();
     while (is_current) {
-        std::optional<object_api::call> next = plan_.next(handlers_.active_versions());
+        const std::optional<version_record_plan::version_sets> active = handlers_.active_versions();
+        std::optional<object_api::call> next = active ? plan_.next(*active) : std::nullopt;
         if (!next) {
             co_return;
         }
--- a/packages/daemon/src/version_record_plan.cpp
+++ b/packages/daemon/src/version_record_plan.cpp
@@ -11,17 +11,11 @@
 
 using version_sets = version_record_plan::version_sets;
 
-/// Versions of each service by which it is known to have more than one.
-constexpr std::size_t min_versions = 2;
-
-/// Adds the versions of all services with more than one, from number `first` to before number `last` of each,
+/// Adds the versions of all services, from number `first` to before number `last` of each,
 /// until the record is full.
 void add_versions(const version_sets& active, std::size_t first, std::size_t last,
                   std::set<recorded_version>& out) {
     for (const auto& row : active) {
-        if (row.second.size() < min_versions) {
-            continue;
-        }
         std::size_t number = 0;
         for (const std::string& version : row.second) {
             if (number >= first && number < last && out.size() < version_record_plan::max_objects) {
@@ -46,8 +40,9 @@
 
 std::set<recorded_version> version_record_plan::wanted(const version_sets& active) {
     std::set<recorded_version> out;
-    add_versions(active, 0, min_versions, out);
-    add_versions(active, min_versions, max_objects, out);
+    add_versions(active, 0, 1, out);
+    add_versions(active, 1, 2, out);
+    add_versions(active, 2, max_objects, out);
     return out;
 }
 
--- a/packages/daemon/test/version_record_plan_test.cpp
+++ b/packages/daemon/test/version_record_plan_test.cpp
@@ -120,11 +120,16 @@
     }
 }
 
-// Guards against writes of a deployment whose services have one version each.
-BOOST_AUTO_TEST_CASE(one_version_makes_no_calls) {
+// Guards against repeated writes of a deployment whose services have one version each, and against a version
+// that is not recorded and replaced by another one while all daemons are away.
+BOOST_AUTO_TEST_CASE(one_version_is_recorded_once) {
     store platform;
     version_record_plan plan = listed_plan(platform);
-    BOOST_TEST(platform.run(plan, {{model, {"v1"}}, {base::service_name("desk"), {"v7"}}}) == 0U);
+    const version_sets active{{model, {"v1"}}, {base::service_name("desk"), {"v7"}}};
+    BOOST_TEST(platform.run(plan, active) == 2U);
+    BOOST_TEST(platform.objects.contains(name_of("v1")));
+    BOOST_TEST(platform.run(plan, active) == 0U);
+    BOOST_TEST(platform.objects.size() == 2U);
 }
 
 // Guards against a write or a deletion without knowledge of the store.
@@ -135,7 +140,7 @@
 }
 
 // Guards against versions that stay unrecorded, and against objects that stay for good.
-BOOST_AUTO_TEST_CASE(versions_are_recorded_while_there_are_several) {
+BOOST_AUTO_TEST_CASE(versions_are_recorded_while_they_are_active) {
     store platform;
     version_record_plan plan = listed_plan(platform);
     BOOST_TEST(platform.run(plan, {{model, {"v1", "v2"}}}) == 2U);
@@ -145,7 +150,10 @@
     BOOST_TEST(platform.run(plan, {{model, {"v2", "v3"}}}) == 2U);
     BOOST_TEST(platform.objects.contains(name_of("v3")));
     BOOST_TEST(!platform.objects.contains(name_of("v1")));
-    BOOST_TEST(platform.run(plan, {{model, {"v3"}}}) == 2U);
+    BOOST_TEST(platform.run(plan, {{model, {"v3"}}}) == 1U);
+    BOOST_TEST(platform.objects.size() == 1U);
+    BOOST_TEST(platform.objects.contains(name_of("v3")));
+    BOOST_TEST(platform.run(plan, {}) == 1U);
     BOOST_TEST(platform.objects.empty());
 }
 
@@ -198,7 +206,8 @@
     BOOST_TEST(platform.run(plan, {{model, {"v2"}}}) == 1U);
     BOOST_TEST(plan.needs_list());
     plan.set_listed(platform.list());
-    BOOST_TEST(platform.run(plan, {{model, {"v2"}}}) == 1U);
+    BOOST_TEST(platform.run(plan, {{model, {"v2"}}}) == 0U);
+    BOOST_TEST(platform.run(plan, {}) == 1U);
     BOOST_TEST(platform.objects.empty());
     platform.create(name_of("v1"));
     plan.set_listed(platform.list());
--- a/packages/telemetry/include/rattanbay/telemetry/log_event.hpp
+++ b/packages/telemetry/include/rattanbay/telemetry/log_event.hpp
@@ -146,10 +146,9 @@
     {log_event::evacuations_changed, log_level::warning,
      "Operators evacuated failure domains or took them back; nothing more is sent to evacuated ones."},
     {log_event::version_recorded, log_level::info,
-     "A software version of a service with more than one was recorded in the store or found there."},
+     "A software version of a service was recorded in the store or found there."},
     {log_event::version_record_removed, log_level::info,
-     "A software version was removed from the store, as the service has only one now or none of its streams "
-     "go on."},
+     "A software version was removed from the store, as none of its streams go on."},
     {log_event::member_joined, log_level::info, "Another daemon was found."},
     {log_event::member_suspected, log_level::warning,
      "A daemon does not answer probes and leaves the entry lists."},
