--- a/packages/telemetry/include/rattanbay/telemetry/log_event.hpp
+++ b/packages/telemetry/include/rattanbay/telemetry/log_event.hpp
@@ -202,7 +202,8 @@
     {log_event::pool_stages_handed_back, log_level::info,
      "Another daemon schedules a worker pool from now on; the stages that waited here go there."},
     {log_event::stream_resumption, log_level::info,
-     "A client takes a stream up again; the line names the software version at which it may go on, or why not."},
+     "A client takes a stream up again; the line names the software version at which it may go on, or why "
+     "not."},
     {log_event::ledger_rotated, log_level::warning,
      "The ledger was sealed by another VM; a new one was started."},
     {log_event::record_unavailable, log_level::warning, "The ledger's record cannot be written."},
