Read the store's list before an unknown stream goes on

It can happen here: a stream that no daemon knew went on at the only version of the list if the list was younger than 15 s and any daemon had answered, or if no other daemon was a member. A daemon that is behind has such a list, the daemon it reaches may be behind as well, and one that is cut off soon has no other members.

The daemon now reads the list from the store after the client has asked, which names every listed version that can have begun the stream, and refuses the stream if the store does not answer in 500 ms. A daemon that had other members within the last minute needs an answer of one of them.

In the tests of the decision the list's age is replaced by whether the list is current, which is stricter. stream_version, software_version, stream_origin_exchange and relay_tests pass.

--- a/packages/daemon/src/internal/relay_state.hpp
+++ b/packages/daemon/src/internal/relay_state.hpp
@@ -10,6 +10,8 @@
 #include <rattanbay/http/response_memory.hpp>
 #include <rattanbay/relay.hpp>
 
+#include <boost/asio/awaitable.hpp>
+
 #include <atomic>
 #include <cstdint>
 #include <functional>
@@ -97,6 +99,9 @@
     /// Whether the record of software versions has been read since the start, and since this daemon was last
     /// isolated or paused, so that the versions from before are known.
     std::atomic<bool> knows_former_versions{false};
+    /// Makes all software versions active that the store lists now. Returns whether the store answered. Set
+    /// before the first request; called from any thread.
+    std::function<boost::asio::awaitable<bool>()> read_listed_versions;
     /// Number of live daemons that take requests; at least 1.
     std::atomic<std::size_t> live_daemons{1};
     /// Time by which the daemon has to have answered all requests, as it is stopped; the maximum otherwise.
--- a/packages/daemon/src/internal/state_synchronizer.hpp
+++ b/packages/daemon/src/internal/state_synchronizer.hpp
@@ -3,6 +3,7 @@
 #include "daemon_registry.hpp"
 #include "document_synchronizer.hpp"
 #include "evacuation_synchronizer.hpp"
+#include "listed_version_reader.hpp"
 #include "peer_broadcaster.hpp"
 #include "peer_transport.hpp"
 #include "platform_session.hpp"
@@ -80,6 +81,8 @@
     std::shared_ptr<daemon_registry> registry_;
     /// Empty unless the daemon relays requests.
     std::shared_ptr<version_record> versions_;
+    /// Empty unless the daemon relays requests.
+    std::shared_ptr<listed_version_reader> listed_versions_;
     /// Empty if operators evacuate no failure domains.
     std::shared_ptr<evacuation_synchronizer> evacuations_;
 };
--- a/packages/daemon/src/internal/stream_origin_exchange.hpp
+++ b/packages/daemon/src/internal/stream_origin_exchange.hpp
@@ -18,7 +18,7 @@
 /// What is known of a stream that a client takes up again.
 struct stream_lookup {
     std::optional<relay::stream_origin> origin;
-    /// Whether another daemon was asked and answered, or there is no other live daemon. Without an answer,
+    /// Whether another daemon was asked and answered, or none was known for a while. Without an answer,
     /// others may know the stream, or versions of the service that this daemon does not know.
     bool was_answered = false;
 };
@@ -65,6 +65,9 @@
     asio::awaitable<void> ask_member(base::address member, peer::stream_origin_request question,
                                      std::shared_ptr<inquiry> asked);
     void take_over(const relay::stream_record& record);
+    /// Whether there was no other daemon for longer than a version is remembered. A daemon that is cut off
+    /// from all others soon has no other members, though they go on.
+    bool is_alone(base::time_point time) const;
     /// Members without this daemon.
     std::vector<peer::member_record> other_members() const;
     std::vector<peer::member_record> members_to_ask(const base::hash128& stream) const;
@@ -77,6 +80,8 @@
     control_strand strand_;
     /// Services that were mixed at the last refresh.
     std::set<base::service_name> mixed_;
+    /// Time at which another daemon was last a member; the minimum if none was.
+    base::time_point others_seen_ = base::time_point::min();
     /// Streams of which the holders have yet to be told.
     std::deque<relay::stream_record> untold_;
 };
--- a/packages/daemon/src/relay_resumption.cpp
+++ b/packages/daemon/src/relay_resumption.cpp
@@ -27,7 +27,10 @@
     }
     known.active_versions = relay_.versions.active(service_, now());
     known.knows_former_versions = relay_.knows_former_versions.load();
-    known.list_age = now() - shared_.vms_confirmed_at.load();
+    if (relay::needs_current_list(known)) {
+        known.is_list_current = co_await relay_.read_listed_versions();
+        known.active_versions = relay_.versions.active(service_, now());
+    }
     co_return relay::decide_resumption(service_, known);
 }
 
--- a/packages/daemon/src/state_synchronizer.cpp
+++ b/packages/daemon/src/state_synchronizer.cpp
@@ -49,6 +49,7 @@
                 [&relay = *shared.relay](const base::service_name& service, const std::string& version) {
                     relay.versions.restore(service, version, now());
                 }});
+        listed_versions_ = std::make_shared<listed_version_reader>(shared, strand, platform_);
     }
     if (shared.relay && shared.relay->settings.evacuation_bound) {
         evacuations_ = std::make_shared<evacuation_synchronizer>(
@@ -78,6 +79,15 @@
 
 void state_synchronizer::start() {
     const std::shared_ptr<state_synchronizer> self = shared_from_this();
+    if (shared_.relay) {
+        shared_.relay->read_listed_versions = [weak = weak_from_this()]() -> asio::awaitable<bool> {
+            const std::shared_ptr<state_synchronizer> owner = weak.lock();
+            if (!owner) {
+                co_return false;
+            }
+            co_return co_await owner->listed_versions_->read();
+        };
+    }
     documents_->start();
     vms_->start();
     role_.on_reading([this]() {
--- a/packages/daemon/src/stream_origin_exchange.cpp
+++ b/packages/daemon/src/stream_origin_exchange.cpp
@@ -106,7 +106,12 @@
                         {"asked", std::to_string(asked_members.size())},
                         {"took_ms", std::to_string(base::to_milliseconds(now() - start))}});
     }
-    co_return stream_lookup{known ? known : asked->origin, asked->was_answered || asked_members.empty()};
+    const bool is_answered = asked->was_answered || (asked_members.empty() && is_alone(start));
+    co_return stream_lookup{known ? known : asked->origin, is_answered};
+}
+
+bool stream_origin_exchange::is_alone(base::time_point time) const {
+    return others_seen_ == base::time_point::min() || time - others_seen_ > relay::version_retention;
 }
 
 asio::awaitable<void> stream_origin_exchange::ask_member(base::address member,
@@ -155,6 +160,7 @@
 
 void stream_origin_exchange::refresh() {
     const base::time_point time = now();
+    others_seen_ = other_members().empty() ? others_seen_ : time;
     std::set<base::service_name> mixed;
     for (const std::pair<const base::service_name, std::set<std::string>>& row :
          shared_.relay->versions.snapshot(time)) {
--- a/packages/daemon/test/stream_origin_exchange_test.cpp
+++ b/packages/daemon/test/stream_origin_exchange_test.cpp
@@ -64,9 +64,7 @@
         , transport_(std::make_shared<internal::peer_transport>(shared_, strand_)) {
         shared_.relay = std::make_unique<internal::relay_state>(
             config::relay_settings(), shared_.settings.failure_domain, nullptr, *shared_.resources, 1);
-        const std::shared_ptr<internal::member_view> view = std::make_shared<internal::member_view>();
-        view->members = members;
-        shared_.members.publish(view);
+        set_members(members);
         exchange_ = std::make_shared<internal::stream_origin_exchange>(shared_, transport_, strand_);
         const base::result<void> started = transport_->start(
             [this](const base::address&, const peer::datagram& message) {
@@ -96,6 +94,12 @@
 
     void record(const base::request_id& stream) { exchange_->record(stream, old_origin, deadline()); }
 
+    void set_members(const std::vector<peer::member_record>& members) {
+        const std::shared_ptr<internal::member_view> view = std::make_shared<internal::member_view>();
+        view->members = members;
+        shared_.members.publish(view);
+    }
+
     void refresh() {
         asio::post(strand_, asio::use_future([this]() { exchange_->refresh(); })).get();
     }
@@ -217,6 +221,16 @@
     BOOST_TEST(cluster.daemons[0]->find(stream_id(1)).was_answered);
 }
 
+// Guards against a daemon that is cut off, takes all others off its list of members, and takes itself for the
+// only one.
+BOOST_AUTO_TEST_CASE(a_daemon_that_has_lost_all_others_needs_an_answer) {
+    lone_exchange asking(0, {member(0), member(1)});
+    asking.refresh();
+    asking.set_members({member(0)});
+    asking.refresh();
+    BOOST_TEST(!asking.find(stream_id(1)).was_answered);
+}
+
 // Guards against clients that wait for a daemon that accepts the question and does not answer.
 BOOST_AUTO_TEST_CASE(silent_daemons_are_waited_for_shortly) {
     constexpr std::chrono::milliseconds max_wait{400};
--- a/packages/relay/include/rattanbay/relay/resumption.hpp
+++ b/packages/relay/include/rattanbay/relay/resumption.hpp
@@ -2,7 +2,6 @@
 
 #include <rattanbay/base/enum_names.hpp>
 #include <rattanbay/base/identifier.hpp>
-#include <rattanbay/base/time.hpp>
 #include <rattanbay/relay/stream_origin.hpp>
 
 #include <optional>
@@ -21,8 +20,9 @@
     bool knows_former_versions = false;
     /// Whether another daemon was asked and answered, or there is none.
     bool was_answered = false;
-    /// Time since the platform's last answer about the endpoints.
-    base::duration list_age{};
+    /// Whether the active versions include all that the platform listed after the client had asked. A list
+    /// from before may lack a version that has begun streams since.
+    bool is_list_current = false;
 };
 
 /// How the software version of a stream was found.
@@ -42,6 +42,9 @@
     std::optional<stream_origin> origin;
 };
 
+/// Whether the decision would be for the only version if the list were current.
+bool needs_current_list(const resumption_knowledge& known);
+
 /// Decides where a stream of the service may go on. Endpoints do not check that a stream was begun by their
 /// own version, and what two versions write does not fit together.
 resumption decide_resumption(const base::service_name& service, const resumption_knowledge& known);
--- a/packages/relay/src/resumption.cpp
+++ b/packages/relay/src/resumption.cpp
@@ -2,20 +2,17 @@
 
 namespace rattanbay::relay {
 
-namespace {
-
-/// Age of the list of endpoints up to which it is taken to name all versions that serve. After a change, a
-/// daemon that follows others may wait 4 s, and the platform answers a watch without changes after 8 s.
-constexpr std::chrono::seconds max_list_age{15};
-
-} // namespace
+bool needs_current_list(const resumption_knowledge& known) {
+    return !known.origin && known.active_versions.size() == 1 && known.knows_former_versions &&
+           known.was_answered && !known.is_list_current;
+}
 
 resumption decide_resumption(const base::service_name& service, const resumption_knowledge& known) {
     if (known.origin) {
         return {resumption_basis::recorded, known.origin};
     }
-    // A daemon that reaches neither the platform nor other daemons may not know of a new version.
-    const bool is_current = known.was_answered && known.list_age <= max_list_age;
+    // A daemon that reaches no other one may not know of a version that has left.
+    const bool is_current = known.was_answered && known.is_list_current;
     if (known.active_versions.size() != 1 || !known.knows_former_versions || !is_current) {
         return {};
     }
--- a/packages/relay/test/resumption_test.cpp
+++ b/packages/relay/test/resumption_test.cpp
@@ -14,6 +14,7 @@
     out.active_versions = {"1.0"};
     out.knows_former_versions = true;
     out.was_answered = true;
+    out.is_list_current = true;
     return out;
 }
 
@@ -48,7 +49,7 @@
     known.knows_former_versions = false;
     BOOST_CHECK(!relay::decide_resumption(service, known).origin);
     known = one_version();
-    known.list_age = std::chrono::seconds(30);
+    known.is_list_current = false;
     BOOST_CHECK(!relay::decide_resumption(service, known).origin);
     known = one_version();
     known.was_answered = false;
@@ -58,4 +59,17 @@
     BOOST_CHECK(!relay::decide_resumption(service, known).origin);
 }
 
+// Guards against calls to the platform for streams whose version they cannot decide.
+BOOST_AUTO_TEST_CASE(the_list_is_read_only_for_a_stream_of_the_only_version) {
+    relay::resumption_knowledge known = one_version();
+    BOOST_CHECK(!relay::needs_current_list(known));
+    known.is_list_current = false;
+    BOOST_CHECK(relay::needs_current_list(known));
+    known.origin = relay::stream_origin{service, "1.0"};
+    BOOST_CHECK(!relay::needs_current_list(known));
+    known.origin = std::nullopt;
+    known.active_versions.insert("1.1");
+    BOOST_CHECK(!relay::needs_current_list(known));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/telemetry/include/rattanbay/telemetry/log_event.hpp
+++ b/packages/telemetry/include/rattanbay/telemetry/log_event.hpp
@@ -69,6 +69,7 @@
     pool_scheduled_without_shard = 5025,
     pool_stages_handed_back = 5026,
     stream_resumption = 5030,
+    listed_versions_read = 5031,
     ledger_rotated = 6001,
     record_unavailable = 6002,
     owner_sealed = 6003,
@@ -99,7 +100,7 @@
 };
 
 /// All log events, ordered by number.
-constexpr std::array<log_event_info, 78> log_events{{
+constexpr std::array<log_event_info, 79> log_events{{
     {log_event::daemon_started, log_level::info, "The daemon listens on all its addresses."},
     {log_event::daemon_draining, log_level::info, "A planned stop began; the daemon leaves the entry lists."},
     {log_event::daemon_stopped, log_level::info, "The planned stop ended; no request was left open."},
@@ -204,6 +205,8 @@
     {log_event::stream_resumption, log_level::info,
      "A client takes a stream up again; the line names the software version at which it may go on, or why "
      "not."},
+    {log_event::listed_versions_read, log_level::info,
+     "The list of endpoints was read for streams that no daemon knows."},
     {log_event::ledger_rotated, log_level::warning,
      "The ledger was sealed by another VM; a new one was started."},
     {log_event::record_unavailable, log_level::warning, "The ledger's record cannot be written."},
@@ -252,7 +255,7 @@
 };
 
 template <> struct rattanbay::base::enum_names<rattanbay::telemetry::log_event> {
-    static constexpr std::array<enum_name<telemetry::log_event>, 78> table{{
+    static constexpr std::array<enum_name<telemetry::log_event>, 79> table{{
         {telemetry::log_event::daemon_started, "daemon_started"},
         {telemetry::log_event::daemon_draining, "daemon_draining"},
         {telemetry::log_event::daemon_stopped, "daemon_stopped"},
@@ -311,6 +314,7 @@
         {telemetry::log_event::pool_scheduled_without_shard, "pool_scheduled_without_shard"},
         {telemetry::log_event::pool_stages_handed_back, "pool_stages_handed_back"},
         {telemetry::log_event::stream_resumption, "stream_resumption"},
+        {telemetry::log_event::listed_versions_read, "listed_versions_read"},
         {telemetry::log_event::ledger_rotated, "ledger_rotated"},
         {telemetry::log_event::record_unavailable, "record_unavailable"},
         {telemetry::log_event::owner_sealed, "owner_sealed"},
